--- /dev/null
+++ b/herongap/__init__.py
@@ -0,0 +1,1 @@
+"""herongap: admission and quality control for media sessions."""
--- /dev/null
+++ b/herongap/interface.py
@@ -0,0 +1,162 @@
+"""The types that pass between a host and the deciding module (`herongap.rules.Controller`).
+
+A host tells the module what it sees by plain method calls, then calls `decide(now)` until it returns None.
+Times are seconds with fractions on the host's clock; rates are kB a second; ids are handed back untouched.
+
+Each decision is a tuple, a verb and its operands:
+
+    ("tune_in", viewing, streamer, time_out)   ask the streamer to start the viewing
+    ("rung", viewing, rung)                    set the rung, before the tune-in or while it plays
+    ("block", viewing, come_back)              final answer: turned away; come_back in seconds, 0 for no advice
+    ("abort", viewing)                         final answer: it failed
+    ("call_off", viewing, number)              stop waiting for that tune-in
+    ("move", viewing)                          take a playing viewing off its streamer
+    ("probe", streamer)                        ask a streamer for its load
+    ("follow",)                                subscribe to the list of streamers
+    ("tell", peer, words)                      a short message to one controller, -1 for all
+    ("wake", at)                               call woke() at that time
+"""
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+
+class Repeat(Enum):
+    """What a second set-up of one viewing would do."""
+    HARMLESS = 1
+    IN_GROUP = 2
+    HARMFUL = 3
+
+
+class Group(Enum):
+    """The streamers among which a repeat of an IN_GROUP package is recognised."""
+    ALL = 1
+    ZONE = 2
+    CELL = 3
+
+
+class Ending(Enum):
+    """How a tune-in, or the viewing it started, ended."""
+    PLAYED = 1
+    FAULTY = 2
+    FULL = 3
+    TIMED_OUT = 4
+    UNREACHED = 5
+    BROKEN = 6
+    CALLED_OFF = 7
+    NOT_SENT = 8
+    UNKNOWN = 9
+
+
+class Standing(Enum):
+    """What the list says of a streamer."""
+    ACTIVE = 1
+    LEAVING = 2
+    LEFT = 3
+
+
+class Package(NamedTuple):
+    """One package of viewings and its terms."""
+    name: str
+    join_target: float
+    stretch: float
+    patience: float
+    value: float
+    repeat: Repeat
+    group: Group
+    repeat_window: float
+    scale: float
+    floor: int
+    top: int
+    seats: int
+    live: bool
+
+
+class Member(NamedTuple):
+    """A tenant: viewings a second within its share, over all controllers; 0 where none is stated."""
+    name: str
+    per_second: float
+
+
+@dataclass(frozen=True, slots=True)
+class Charter:
+    """What a deployment states at start, in our units."""
+    me: int
+    controllers: int
+    zone: str
+    packages: tuple[Package, ...]
+    members: tuple[Member, ...]
+    over_share: float
+    ladder: tuple[float, ...]
+    worths: tuple[float, ...]
+    stall: float
+    step_cost: float
+    join_adds: float
+    cells: int
+    racks: int
+    link_per_weight: float
+    weights_told: bool
+    fleet_links: float
+    rack_link: float
+    places: dict[str, int]
+    full_from: float
+    told_late: float
+    tell_every: float
+    tune_ins: int
+    probes: bool
+    messages: bool
+    call_offs: bool
+    come_back: float
+    must_follow: bool
+    answer_slack: float
+    drain_grace: float
+    warm_up: float
+    cold_start: float
+    fall_multiple: float
+    fall_after: float
+    extra_free: float | None
+    extra_share: float
+    extra_window: float
+    price_move: float
+    price_probe: float
+    price_message: float
+    price_cross: float
+
+
+class Listed(NamedTuple):
+    """One line of the list of streamers; started is None when it has run for long."""
+    streamer: int
+    zone: str
+    kind: str
+    cell: int
+    standing: Standing
+    weight: float
+    started: float | None
+
+
+class Asked(NamedTuple):
+    """A request for a viewing; left is what remains of the viewer's patience, length a hint or None."""
+    viewing: int
+    viewer: int
+    package: str
+    member: str | None
+    title: int
+    home: int
+    holders: int
+    top: int
+    left: float
+    length: float | None
+    moved: bool
+    again: bool
+
+
+class Load(NamedTuple):
+    """A streamer's own report; None where it does not say."""
+    link: float | None = None
+    link_capped: float | None = None
+    rack: float | None = None
+    streams: float | None = None
+    waiting: float | None = None
+    setup_time: float | None = None
+    setups: float | None = None
+    failing: float | None = None
--- /dev/null
+++ b/herongap/rules.py
@@ -0,0 +1,467 @@
+"""All decisions of one controller. Call the input methods as things are heard, then `decide(now)` until None.
+
+The interface is `herongap/interface.py`. The design (docs/design.md): a table of the mean quality that this
+controller's own recent viewings got, a row per package and a cell per streamer; the best cell among ready
+holders with room wins, thin cells are seeded by round robin, and rungs are admitted on link and rack uplink.
+Mechanisms beside it:
+ 1. set aside: a streamer that fails or goes silent gets nothing for a while, and its cells hear of it
+ 2. cold pace: a streamer that may have just started gets set-ups in this controller's own time slots
+ 3. further tune-ins: a time-out leaves room for a second one, within the budget and the package's terms
+ 4. cuts and raises: playing viewings step down where a link is over-asked, and up slowly where there is room
+ 5. word of others: notes and reports correct the link estimate, and fade to what others usually ask
+"""
+from collections import defaultdict, deque
+from heapq import heappop, heappush
+from zlib import crc32
+
+from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Package, Repeat, Standing
+
+PERIOD = 0.5            # the timer: scores, raises, probes
+RANKS = 5.0             # ranks refresh
+WINDOW = 30.0           # how fast old viewings fade from a cell
+THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
+TIE = 0.10              # scores this close to the best tie
+MARK = 0.90             # part of a link or uplink that set-ups may fill
+OVER, RAISE = 1.0, 0.80  # use above which playing viewings are cut, and under which they may be raised
+DWELL = 8.0             # a viewing is not raised sooner after its last step
+FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
+STRIKES, AWAY, AWAY_MORE = 2.0, 4.0, 2.0  # failures that set a streamer aside, for how long, and the random part
+HOLD = 0.4              # part of the join target that a viewing without room is held
+FIRST, TYPICAL = 0.45, 4.0  # time-out: at most this part of the join target, this many times the usual set-up
+FADE = 8.0              # seconds in which word of others' use fades
+PACE = 0.6              # part of the allowance for cold streamers that is used
+COME_BACK = 0.5
+NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.NOT_SENT)
+
+
+class Pipe:
+    """A link or a rack's uplink: what this controller asks of it and what it heard of the rest."""
+
+    def __init__(self, size: float):
+        self.size, self.own, self.rest, self.heard = size, 0.0, 0.0, -1e9
+        self.past: deque[tuple[float, float]] = deque()
+
+    def add(self, now: float, kb: float) -> None:
+        self.past.append((now, self.own))
+        self.own += kb
+        while self.past[0][0] < now - 10:
+            self.past.popleft()
+
+    def told(self, now: float, ratio: float, late: float) -> None:
+        # The word is about a moment ago: what was sent or ended here since then must not count twice.
+        then = next((own for at, own in self.past if at > now - late), self.own)
+        self.rest, self.heard = ratio * self.size - then, now
+
+    def use(self, now: float, usual: float, more: float = 0.0) -> float:
+        fresh = max(0.0, 1 - (now - self.heard) / FADE)
+        return max(0.0, self.own + more + fresh * self.rest + (1 - fresh) * usual * self.size) / self.size
+
+
+class Streamer:
+    """What is known of one streamer."""
+
+    def __init__(self, line: Listed, link: Pipe):
+        self.line, self.full, self.link = line, link.size, link
+        self.share, self.strikes, self.back, self.started, self.slot = 1.0, 0.0, -1e9, -1e9, -1
+        self.held: dict[int, Viewing] = {}
+
+
+class Viewing:
+    """A viewing this controller answers for or holds."""
+
+    def __init__(self, ask: Asked, package: "Terms", now: float):
+        self.id, self.ask, self.package, self.came = ask.viewing, ask, package, now
+        self.until, self.aim = now + ask.left, now + min(package.join, ask.left)
+        self.top, self.rung, self.stepped = min(ask.top, package.top), package.floor, now
+        self.streamer: Streamer | None = None
+        self.playing = self.done = False
+        self.tries, self.sent, self.tried, self.ran = 0, now, set(), []
+
+
+class Terms:
+    """The derived figures of one package."""
+
+    def __init__(self, p: Package, ladder: tuple[float, ...], worths: tuple[float, ...], live_adds: float):
+        self.name, self.join, self.floor, self.top, self.seats = p.name, p.join_target, p.floor, p.top, p.seats
+        self.repeat, self.group, self.window = p.repeat, p.group, p.repeat_window
+        self.rates = [kb * p.scale for kb in ladder]
+        # Value for each kB a second that the step up to a rung brings: cheapest steps are cut first.
+        self.gain = [p.value * (w - v) / max(kb - k, 1e-9) for w, v, kb, k in
+                     zip(worths, (0.0, *worths), self.rates, (0.0, *self.rates), strict=False)]
+
+
+class Controller:
+    """One controller's decisions."""
+
+    def __init__(self, now: float, seed: int, charter: Charter):
+        c = charter
+        self.seed, self.draws, self.zone, self.me, self.controllers = seed, 0, c.zone, c.me, c.controllers
+        self.packages = {p.name: Terms(p, c.ladder, c.worths, c.join_adds) for p in c.packages}
+        self.cells, self.racks_in_use, self.per_weight, self.places = c.cells, max(1, c.racks), c.link_per_weight, c.places
+        self.racks = {r: Pipe(c.rack_link) for r in range(self.racks_in_use)}
+        self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
+        self.can_probe, self.follow, self.come_back = c.probes, c.must_follow, min(c.come_back, COME_BACK)
+        self.extra = c.extra_free is not None and (c.extra_free, c.extra_share, c.extra_window)
+        self.warm_up, self.cold_start = c.warm_up, c.cold_start
+        slots = max(1, min(c.places.values(), default=1))
+        self.slot = c.warm_up / (slots * c.cold_start * c.fall_multiple * PACE)
+        self.streamers: dict[int, Streamer] = {}
+        self.viewings: dict[int, Viewing] = {}
+        self.waiting: dict[int, Viewing] = {}
+        self.seats: dict[tuple, int] = defaultdict(int)
+        self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])  # viewings, seconds, score sum
+        self.ranks: dict[tuple, float] = {}
+        self.mean: dict[str, float] = {}
+        self.turn: dict[str, int] = {}
+        self.taken: deque[float] = deque()
+        self.extras: deque[float] = deque()
+        self.usual, self.setup = 0.0, 0.1
+        self.due: list[tuple] = []
+        self.order = 0
+        self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
+        self.over: set[int] = set()
+        self.answers: deque[tuple] = deque()
+
+    # What is heard: each call only updates what is known.
+
+    def listed(self, now: float, kind: str, lines: tuple[Listed, ...]) -> None:
+        if kind == "failed":
+            self.at(now + 0.5 + self.chance(), "follow", 0)
+            return
+        for line in lines:
+            st = self.streamers.get(line.streamer)
+            if st is None:
+                if line.standing is Standing.LEFT:
+                    continue
+                st = self.streamers[line.streamer] = Streamer(line, Pipe(self.per_weight * max(line.weight, 0.01)))
+            if line.started is not None and line.started > st.started:
+                st.started, st.strikes, st.share = line.started, 0.0, 1.0
+            st.line, st.full = line, self.per_weight * max(line.weight, 0.01)
+        if kind != "changes":
+            named = {line.streamer for line in lines}
+            for st in self.streamers.values():
+                if st.line.streamer not in named:
+                    st.line = st.line._replace(standing=Standing.LEFT)
+        self.look = True
+
+    def asked(self, now: float, ask: Asked) -> None:
+        vw = self.viewings[ask.viewing] = self.waiting[ask.viewing] = Viewing(ask, self.packages[ask.package], now)
+        self.taken.append(now)
+        self.at(min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id)
+        self.look = True
+
+    def handed(self, now: float, ask: Asked, streamer: int) -> None:
+        vw = self.viewings[ask.viewing] = Viewing(ask, self.packages[ask.package], now)
+        self.put(now, vw, self.streamers[streamer])
+        vw.playing, vw.tries = True, 1
+        self.table[vw.package.name, streamer][0] += 1
+
+    def rung_told(self, now: float, viewing: int, rung: float) -> None:
+        if vw := self.viewings.get(viewing):
+            self.set_rung(now, vw, int(rung))
+
+    def share_told(self, now: float, streamer: int, share: float) -> None:
+        st = self.streamers[streamer]
+        st.share = min(1.0, share)
+        st.link.told(now, 1 / max(share, 0.1), self.late)
+        self.over.add(streamer)
+
+    def link_told(self, now: float, streamer: int, viewing: int, ratio: float) -> None:
+        vw = self.viewings.get(viewing)
+        # The word at set-up is about now; later ones come as late as the settings say.
+        late = 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
+        self.streamers[streamer].link.told(now, ratio, late)
+        self.over.add(streamer)
+
+    def rack_told(self, now: float, streamer: int, viewing: int, ratio: float) -> None:
+        vw = self.viewings.get(viewing)
+        late = 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
+        self.rack(self.streamers[streamer]).told(now, ratio, late)
+        self.over.add(streamer)
+
+    def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
+        if load is None:
+            return
+        ratio = load.link if load.link is not None else load.link_capped
+        if ratio is not None:
+            st.link.told(now, ratio, 0.3)
+        if load.rack is not None:
+            self.rack(st).told(now, load.rack, 0.3)
+        self.over.add(st.line.streamer)
+
+    def started(self, now: float, viewing: int, number: int, streamer: int, taken: float) -> None:
+        vw, st = self.viewings.get(viewing), self.streamers[streamer]
+        st.strikes = 0.0
+        self.setup += 0.1 * (taken - self.setup)
+        if vw is not None:
+            vw.playing, vw.stepped = True, now
+            self.table[vw.package.name, streamer][0] += 1
+
+    def ended(self, now: float, viewing: int, number: int, streamer: int, how: Ending, taken: float,
+              closed: bool, load: Load | None) -> None:
+        st = self.streamers[streamer]
+        self.loaded(now, st, load)
+        vw = self.viewings.get(viewing)
+        if vw is None:
+            return
+        if vw.streamer is not None:
+            self.drop(now, vw)
+        if not vw.playing and how is Ending.FULL:
+            st.link.told(now, max(self.full_from, 1.0), 0.0)
+        elif how is Ending.BROKEN or (not vw.playing and how in (
+                Ending.FAULTY, Ending.TIMED_OUT, Ending.UNREACHED, Ending.UNKNOWN)):
+            self.failed(now, vw, st, how)
+        if closed or vw.done:
+            self.viewings.pop(viewing)
+            self.waiting.pop(viewing, None)
+        else:
+            vw.tried.add(streamer)
+            if how not in NEVER_RAN:
+                vw.ran.append((st.line.zone, st.line.cell, vw.sent))
+            if how is Ending.NOT_SENT:
+                vw.tries = self.tune_ins
+            self.waiting[viewing] = vw
+            self.at(min(max(now + 0.05, vw.aim), vw.until - 0.05), "hold", viewing)
+        self.look = True
+
+    def left(self, now: float, viewing: int) -> None:
+        vw = self.viewings.get(viewing)
+        if vw is not None:
+            vw.done = True
+            self.waiting.pop(viewing, None)
+            if vw.streamer is None:
+                self.viewings.pop(viewing)
+
+    def probed(self, now: float, streamer: int, how: Ending, taken: float, load: Load | None) -> None:
+        self.loaded(now, self.streamers[streamer], load)
+
+    def heard(self, now: float, peer: int, words: bytes) -> None:
+        pass
+
+    def woke(self, now: float) -> None:
+        # Rounding can ring a hair before the due time; a spent alarm must not pass for one still set.
+        self.wake = -1e9
+
+    # What is decided.
+
+    def decide(self, now: float) -> tuple | None:
+        if not self.answers:
+            self.think(now)
+        return self.answers.popleft() if self.answers else None
+
+    def think(self, now: float) -> None:
+        while self.due and self.due[0][0] <= now:
+            _, _, what, who = heappop(self.due)
+            if what == "follow":
+                self.answers.append(("follow",))
+            elif what == "hold" and who in self.waiting:
+                self.place(now, self.waiting[who]) or self.give_up(self.waiting[who])
+        if now >= self.period:
+            self.tick(now)
+            self.look = True
+        for streamer in self.over:
+            self.cut(now, self.streamers[streamer])
+        self.over.clear()
+        if self.look:
+            self.look = False
+            for vw in list(self.waiting.values()):
+                self.place(now, vw)
+        if self.follow:
+            self.follow = False
+            self.answers.append(("follow",))
+        wake = min(self.period, self.due[0][0]) if self.due else self.period
+        if not now < self.wake <= wake:
+            self.wake = wake
+            self.answers.append(("wake", wake))
+
+    def place(self, now: float, vw: Viewing) -> bool:
+        """Send a waiting viewing to the best holder with room, or say that there is none."""
+        p, cells = vw.package, {(vw.ask.home + i) % self.cells for i in range(vw.ask.holders)}
+        if vw.top < p.floor or vw.tries >= self.tune_ins or vw.until - now < 0.05:
+            self.give_up(vw)
+            return True
+        if (vw.tries and not self.may_repeat(now)) or (p.seats and self.seats[vw.ask.title, p.name] >= p.seats):
+            return False
+        ready = [st for st in self.streamers.values() if st.line.cell in cells and st.line.standing is Standing.ACTIVE
+                 and st.back <= now and st.line.streamer not in vw.tried and self.repeats_at(now, vw, st)
+                 and self.paced(now, st) and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
+        for rung in range(vw.top, p.floor - 1, -1):
+            room = [st for st in ready if self.use(now, st, p.rates[rung]) <= MARK]
+            if room:
+                self.send(now, vw, self.pick(now, vw, room), rung)
+                return True
+        roomy = min(ready, key=lambda st: self.use(now, st), default=None)
+        if roomy is None or self.use(now, roomy, p.rates[p.floor]) > 1:
+            return False
+        self.send(now, vw, roomy, p.floor)
+        return True
+
+    def pick(self, now: float, vw: Viewing, room: list[Streamer]) -> Streamer:
+        """The best cell, ties to the least used; round robin for thin cells and a share of all set-ups."""
+        name = vw.package.name
+        score = {st: self.ranks.get((name, st.line.streamer), self.mean.get(name, 0.0)) for st in room}
+        best = max(score.values())
+        tied = [st for st in room if score[st] >= best - TIE * abs(best)]
+        st = min(tied, key=lambda st: (self.use(now, st), st.line.streamer))
+        if self.table[name, st.line.streamer][0] < THIN or self.chance() < SEED:
+            room.sort(key=lambda st: st.line.streamer)
+            last = self.turn.get(name, -1)
+            st = next((st for st in room if st.line.streamer > last), room[0])
+            self.turn[name] = st.line.streamer
+        return st
+
+    def send(self, now: float, vw: Viewing, st: Streamer, rung: int) -> None:
+        del self.waiting[vw.id]
+        vw.rung, vw.tries, vw.sent, vw.stepped = rung, vw.tries + 1, now, now
+        if vw.tries > 1:
+            self.extras.append(now)
+        if now - st.started < self.warm_up:
+            st.slot = int(now / self.slot)
+        self.put(now, vw, st)
+        left = vw.until - now
+        most = min(FIRST * vw.package.join if vw.tries == 1 else max(vw.aim - now, FIRST * vw.package.join), left)
+        self.answers.append(("rung", vw.id, rung))
+        self.answers.append(("tune_in", vw.id, st.line.streamer, most))
+
+    def give_up(self, vw: Viewing) -> None:
+        """The final answer, at once: blocked where a return does no harm, aborted where it might."""
+        self.waiting.pop(vw.id)
+        self.viewings.pop(vw.id)
+        p = vw.package
+        harm = vw.ran and (p.repeat is Repeat.HARMFUL or (p.repeat is Repeat.IN_GROUP and p.group is not Group.ALL))
+        self.answers.append(("abort", vw.id) if harm else ("block", vw.id, self.come_back))
+
+    def may_repeat(self, now: float) -> bool:
+        """Whether the budget of further tune-ins has one left."""
+        if not self.extra:
+            return True
+        free, share, window = self.extra
+        while self.extras and self.extras[0] < now - window - 0.1:
+            self.extras.popleft()
+        while self.taken and self.taken[0] < now - window + 0.1:
+            self.taken.popleft()
+        return len(self.extras) + 1 <= free + share * len(self.taken)
+
+    def repeats_at(self, now: float, vw: Viewing, st: Streamer) -> bool:
+        """Whether the package's terms let this viewing be set up at this streamer after what may have run."""
+        p = vw.package
+        if not vw.ran or p.repeat is Repeat.HARMLESS:
+            return True
+        return p.repeat is Repeat.IN_GROUP and all(
+            now - sent < p.window and (p.group is Group.ALL or (zone == st.line.zone and (
+                p.group is Group.ZONE or cell == st.line.cell))) for zone, cell, sent in vw.ran)
+
+    def paced(self, now: float, st: Streamer) -> bool:
+        """Cold streamers take one set-up in each of this controller's own slots: together that is the pace."""
+        if now - st.started >= self.warm_up:
+            return True
+        slot = int(now / self.slot)
+        return slot % self.controllers == self.me and slot != st.slot
+
+    def failed(self, now: float, vw: Viewing, st: Streamer, how: Ending) -> None:
+        # A failing streamer plays no seconds, so its stale high score would keep winning: the cell hears of it.
+        cell = self.table[vw.package.name, st.line.streamer]
+        cell[1] += FAIL_SECONDS
+        cell[2] -= FAIL_SECONDS * 370
+        st.strikes += 2 if vw.playing or how is Ending.UNREACHED else 1
+        if st.strikes >= STRIKES and now >= st.back:
+            st.back = now + AWAY + AWAY_MORE * self.chance()
+            st.strikes = STRIKES - 1
+            if how is not Ending.FAULTY:
+                # It may come back cold before the list says so.
+                st.started = max(st.started, st.back)
+
+    def tick(self, now: float) -> None:
+        """The one periodic job: scores, ranks, what others usually ask, raises and probes."""
+        self.period = now + PERIOD
+        fade = 1 - PERIOD / WINDOW
+        for cell in self.table.values():
+            cell[:] = cell[0] * fade, cell[1] * fade, cell[2] * fade
+        for st in self.streamers.values():
+            age = now - st.started
+            st.link.size = st.full * min(1.0, self.cold_start + (1 - self.cold_start) * max(0.0, age) / self.warm_up)
+            for vw in st.held.values():
+                if vw.playing:
+                    cell = self.table[vw.package.name, st.line.streamer]
+                    cell[1] += PERIOD
+                    cell[2] += PERIOD * (vw.package.rates[vw.rung] * 8 * st.share / 20 - 370 * (1 - st.share))
+        if now >= self.refresh:
+            self.refresh = now + RANKS
+            self.ranks = {key: cell[2] / cell[1] for key, cell in self.table.items() if cell[1] > 0}
+            for name in self.packages:
+                row = [score for (package, _), score in self.ranks.items() if package == name]
+                self.mean[name] = sum(row) / len(row) if row else 0.0
+        live = [st for st in self.streamers.values() if st.line.standing is Standing.ACTIVE]
+        fresh = [st.link.rest / st.link.size for st in live if now - st.link.heard < FADE]
+        total = sum(st.link.size for st in live) or 1.0
+        own = sum(st.link.own for st in live) / total
+        self.usual = max(0.0, sum(fresh) / len(fresh) if fresh else own * (self.controllers - 1))
+        for st in live:
+            if st.held:
+                self.raise_one(now, st)
+
+    def raise_one(self, now: float, st: Streamer) -> None:
+        up = [vw for vw in st.held.values() if vw.playing and vw.rung < vw.top and now - vw.stepped >= DWELL]
+        for vw in sorted(up, key=lambda vw: -vw.package.gain[vw.rung + 1]):
+            rates = vw.package.rates
+            if self.use(now, st, rates[vw.rung + 1] - rates[vw.rung]) <= RAISE:
+                self.step(now, vw, vw.rung + 1)
+                return
+
+    def cut(self, now: float, st: Streamer) -> None:
+        """Step down this controller's own part of what is asked too much, cheapest steps first."""
+        for pipe, held in ((st.link, list(st.held.values())), (self.rack(st), None)):
+            use = pipe.use(now, self.usual)
+            if use <= OVER:
+                continue
+            if held is None:
+                held = [vw for other in self.streamers.values() if self.rack(other) is pipe for vw in other.held.values()]
+            goal = pipe.own * MARK / use
+            while pipe.own > goal:
+                down = [vw for vw in held if vw.playing and vw.rung > vw.package.floor]
+                if not down:
+                    break
+                vw = min(down, key=lambda vw: vw.package.gain[vw.rung])
+                self.step(now, vw, vw.rung - 1)
+
+    # Bookkeeping shared by both.
+
+    def step(self, now: float, vw: Viewing, rung: int) -> None:
+        self.set_rung(now, vw, rung)
+        vw.stepped = now
+        self.answers.append(("rung", vw.id, rung))
+
+    def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
+        if vw.streamer is not None:
+            more = vw.package.rates[rung] - vw.package.rates[vw.rung]
+            vw.streamer.link.add(now, more)
+            self.rack(vw.streamer).add(now, more)
+        vw.rung = rung
+
+    def put(self, now: float, vw: Viewing, st: Streamer) -> None:
+        vw.streamer = st
+        st.held[vw.id] = vw
+        self.seats[vw.ask.title, vw.package.name] += 1
+        st.link.add(now, vw.package.rates[vw.rung])
+        self.rack(st).add(now, vw.package.rates[vw.rung])
+
+    def drop(self, now: float, vw: Viewing) -> None:
+        st, vw.streamer = vw.streamer, None
+        del st.held[vw.id]
+        self.seats[vw.ask.title, vw.package.name] -= 1
+        st.link.add(now, -vw.package.rates[vw.rung])
+        self.rack(st).add(now, -vw.package.rates[vw.rung])
+
+    def use(self, now: float, st: Streamer, more: float = 0.0) -> float:
+        return max(st.link.use(now, self.usual, more), self.rack(st).use(now, self.usual, more))
+
+    def rack(self, st: Streamer) -> Pipe:
+        return self.racks[st.line.cell % self.racks_in_use]
+
+    def at(self, when: float, what: str, who: int) -> None:
+        self.order += 1
+        heappush(self.due, (when, self.order, what, who))
+
+    def chance(self) -> float:
+        self.draws += 1
+        return crc32(b"%d:%d" % (self.seed, self.draws)) / 2**32
--- /dev/null
+++ b/tests/test_design.py
@@ -0,0 +1,40 @@
+"""Plain cases of the design's choices."""
+from helpers import ask, charter, controller, pull
+
+from herongap.interface import Ending
+
+
+def test_one_tune_in_at_the_highest_rung_that_fits():
+    c = controller()
+    c.asked(0.0, ask(1, top=2))
+    out = pull(c, 0.0)
+    assert [d[0] for d in out if d[0] != "wake"] == ["rung", "tune_in"] and out[0][2] == 2
+
+
+def test_the_best_cell_wins_once_cells_are_thick():
+    c = controller()
+    for streamer in (10, 11, 12):
+        c.table["news", streamer][:] = [9.0, 9.0, 9.0 * (200 if streamer == 11 else 100)]
+    c.asked(0.0, ask(1))
+    sent = [d for d in pull(c, 0.0) if d[0] == "tune_in"]
+    assert sent[0][2] == 11
+
+
+def test_thin_cells_are_seeded_in_turn():
+    c = controller()
+    sent = []
+    for i in range(3):
+        c.asked(float(i) / 100, ask(i, top=0))
+        sent += [d[2] for d in pull(c, i / 100) if d[0] == "tune_in"]
+    assert sorted(sent) == [10, 11, 12]
+
+
+def test_failures_set_a_streamer_aside():
+    c = controller(charter(cells=1))
+    for i in range(2):
+        c.asked(float(i), ask(i, holders=1))
+        assert any(d[0] == "tune_in" for d in pull(c, float(i)))
+        c.ended(i + 0.5, i, 0, 10, Ending.FAULTY, 0.5, False, None)
+        pull(c, i + 0.5)
+    c.asked(2.0, ask(9, holders=1))
+    assert not any(d[0] == "tune_in" for d in pull(c, 2.0))
