--- a/herongap/benchlink/__main__.py
+++ b/herongap/benchlink/__main__.py
@@ -1,4 +1,5 @@
 """Run the adapter: batches on standard input, replies on standard output."""
+
 import sys
 
 from herongap.benchlink.link import Link, Malformed
--- a/herongap/benchlink/codec.py
+++ b/herongap/benchlink/codec.py
@@ -1,72 +1,132 @@
-"""What the wire's fields say in our types, and our decisions as wire messages; milliseconds become seconds."""
+"""The wire's fields in our types, and our decisions as wire messages; milliseconds become seconds."""
+
 from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Member, Package, Repeat, Standing
 
 ENDINGS = {
-    "OK": Ending.PLAYED, "INTERNAL": Ending.FAULTY, "RESOURCE_EXHAUSTED": Ending.FULL,
-    "DEADLINE_EXCEEDED": Ending.TIMED_OUT, "UNAVAILABLE": Ending.UNREACHED, "ABORTED": Ending.BROKEN,
-    "CANCELLED": Ending.CALLED_OFF, "TOO_LATE": Ending.NOT_SENT,
+    "OK": Ending.PLAYED,
+    "INTERNAL": Ending.FAULTY,
+    "RESOURCE_EXHAUSTED": Ending.FULL,
+    "DEADLINE_EXCEEDED": Ending.TIMED_OUT,
+    "UNAVAILABLE": Ending.UNREACHED,
+    "ABORTED": Ending.BROKEN,
+    "CANCELLED": Ending.CALLED_OFF,
+    "TOO_LATE": Ending.NOT_SENT,
 }
 REPEATS = {"pure": Repeat.HARMLESS, "token": Repeat.IN_GROUP, "side_effect": Repeat.HARMFUL}
-GROUPS = {"all": Group.ALL, "same zone": Group.ZONE, "zone": Group.ZONE, "same cell": Group.CELL, "cell": Group.CELL}
+GROUPS = {
+    "all": Group.ALL,
+    "zone": Group.ZONE,
+    "same zone": Group.ZONE,
+    "cell": Group.CELL,
+    "same cell": Group.CELL,
+}
 STANDINGS = {"active": Standing.ACTIVE, "leaving": Standing.LEAVING, "left": Standing.LEFT}
 
 
 def charter(conf: dict) -> Charter:
     """The settings of one instance."""
-    info, allowed, rules, prices = conf["FamilyInfo"], conf["Allowed"], conf["Invariants"], conf.get("Prices", {})
+    info, allowed, rules = conf["FamilyInfo"], conf["Allowed"], conf["Invariants"]
+    prices = conf.get("Prices", {})
     free = rules.get("MinExtra")
     return Charter(
-        me=int(conf["Me"]), controllers=int(conf["FleetSize"]), zone=conf["Locality"],
+        me=int(conf["Me"]),
+        controllers=int(conf["FleetSize"]),
+        zone=conf["Locality"],
         packages=tuple(package(g, info, i) for i, g in enumerate(conf["Grades"])),
         members=tuple(Member(t["Name"], float(t.get("QuotaRps") or 0)) for t in conf.get("Tenants") or ()),
         over_share=float(conf.get("OverShareWorth", 1)),
-        ladder=tuple(map(float, info["LadderKb"])), worths=tuple(map(float, info["LevelWorth"])),
-        stall=float(info.get("Stall", 0)), step_cost=float(info.get("SwitchS", 0)),
-        join_adds=float(info.get("JoinAdds", 1)), cells=int(info["Places"]), racks=int(info["Racks"]),
-        link_per_weight=float(info["KbPerWeight"]), weights_told=conf.get("Weights", "off") != "off",
-        fleet_links=float(info.get("FleetKb", 0)), rack_link=float(info["RackLinkKb"]),
+        ladder=tuple(map(float, info["LadderKb"])),
+        worths=tuple(map(float, info["LevelWorth"])),
+        stall=float(info.get("Stall", 0)),
+        step_cost=float(info.get("SwitchS", 0)),
+        join_adds=float(info.get("JoinAdds", 1)),
+        cells=int(info["Places"]),
+        racks=int(info["Racks"]),
+        link_per_weight=float(info["KbPerWeight"]),
+        weights_told=conf.get("Weights", "off") != "off",
+        fleet_links=float(info.get("FleetKb", 0)),
+        rack_link=float(info["RackLinkKb"]),
         places=dict(zip(conf["Skus"], map(int, info["KindSlots"]), strict=False)),
-        full_from=float(info.get("RefusesFrom", 0)), told_late=info.get("ToldLate", 0) / 1000,
-        tell_every=info.get("Tell", 0) / 1000, tune_ins=int(allowed["MaxAttempts"]),
-        probes=bool(allowed.get("Probes")), messages=bool(allowed.get("PeerMessages")),
+        full_from=float(info.get("RefusesFrom", 0)),
+        told_late=info.get("ToldLate", 0) / 1000,
+        tell_every=info.get("Tell", 0) / 1000,
+        tune_ins=int(allowed["MaxAttempts"]),
+        probes=bool(allowed.get("Probes")),
+        messages=bool(allowed.get("PeerMessages")),
         call_offs=bool(allowed.get("Cancelling")),
         come_back=allowed.get("MaxRetryAfter", 0) / 1000 if allowed.get("RetryAfter") else 0.0,
-        must_follow=conf.get("RegistryMode") == "ask", answer_slack=rules.get("AnswerSlack", 0) / 1000,
-        drain_grace=rules.get("DrainGrace", 0) / 1000, warm_up=rules["RampTime"] / 1000,
-        cold_start=float(rules["StartCapacity"]), fall_multiple=float(rules["FallMultiple"]),
-        fall_after=rules["TipAfter"] / 1000, extra_free=None if free is None else float(free),
-        extra_share=float(rules.get("RepeatRatio") or 0), extra_window=(rules.get("LookBack") or 0) / 1000,
-        price_move=float(prices.get("Moves", 0)), price_probe=float(prices.get("Probe", 0)),
-        price_message=float(prices.get("Peer", 0)), price_cross=float(prices.get("CrossZone", 0)))
+        must_follow=conf.get("RegistryMode") == "ask",
+        answer_slack=rules.get("AnswerSlack", 0) / 1000,
+        drain_grace=rules.get("DrainGrace", 0) / 1000,
+        warm_up=rules["RampTime"] / 1000,
+        cold_start=float(rules["StartCapacity"]),
+        fall_multiple=float(rules["FallMultiple"]),
+        fall_after=rules["TipAfter"] / 1000,
+        extra_free=None if free is None else float(free),
+        extra_share=float(rules.get("RepeatRatio") or 0),
+        extra_window=(rules.get("LookBack") or 0) / 1000,
+        price_move=float(prices.get("Moves", 0)),
+        price_probe=float(prices.get("Probe", 0)),
+        price_message=float(prices.get("Peer", 0)),
+        price_cross=float(prices.get("CrossZone", 0)),
+    )
 
 
 def package(grade: dict, info: dict, i: int) -> Package:
     """One package; the per-package lists of the settings run in the order of the packages."""
+
     def of(name: str, default):
         figures = info.get(name) or ()
         return figures[i] if i < len(figures) else default
+
     return Package(
-        name=grade["Name"], join_target=grade["Aim"] / 1000, stretch=float(grade.get("AimStretch") or 0),
-        patience=grade["Deadline"] / 1000, value=float(grade.get("Credit", 1)), repeat=REPEATS[grade["Idempotency"]],
-        group=GROUPS[grade.get("Group", "all")], repeat_window=grade.get("Window", 0) / 1000,
-        scale=float(of("ClassScale", 1)), floor=int(of("ClassFloor", 0)),
-        top=int(of("TopByClass", len(info["LadderKb"]) - 1)), seats=int(of("Seats", 0)), live=bool(of("IsLive", False)))
+        name=grade["Name"],
+        join_target=grade["Aim"] / 1000,
+        stretch=float(grade.get("AimStretch") or 0),
+        patience=grade["Deadline"] / 1000,
+        value=float(grade.get("Credit", 1)),
+        repeat=REPEATS[grade["Idempotency"]],
+        group=GROUPS[grade.get("Group", "all")],
+        repeat_window=grade.get("Window", 0) / 1000,
+        scale=float(of("ClassScale", 1)),
+        floor=int(of("ClassFloor", 0)),
+        top=int(of("TopByClass", len(info["LadderKb"]) - 1)),
+        seats=int(of("Seats", 0)),
+        live=bool(of("IsLive", False)),
+    )
 
 
 def listed(line: dict) -> Listed:
     """One entry of a list."""
     since = line.get("UpSince") or 0
-    return Listed(line["Streamer"], line["Hall"], line["Flavor"], int(line["SlotNo"]), STANDINGS[line["State"]],
-                  float(line.get("Scale", 1)), since / 1000 if since else None)
+    return Listed(
+        line["Streamer"],
+        line["Hall"],
+        line["Flavor"],
+        int(line["SlotNo"]),
+        STANDINGS[line["State"]],
+        float(line.get("Scale", 1)),
+        since / 1000 if since else None,
+    )
 
 
 def asked(f: dict) -> Asked:
     """A request, or a viewing handed over."""
     hint = f.get("SizeHint")
-    return Asked(f["Ref"], f["Subject"], f["Grade"], f.get("Team") or None, f["Item"], int(f["Home"]),
-                 int(f["Holders"]), int(f["MaxRung"]), f.get("Remaining", 0) / 1000,
-                 None if hint is None else hint / 1000, bool(f.get("Moved")),
-                 bool(f.get("Reconnect") or f.get("AgainByClient")))
+    return Asked(
+        f["Ref"],
+        f["Subject"],
+        f["Grade"],
+        f.get("Team") or None,
+        f["Item"],
+        int(f["Home"]),
+        int(f["Holders"]),
+        int(f["MaxRung"]),
+        f.get("Remaining", 0) / 1000,
+        None if hint is None else hint / 1000,
+        bool(f.get("Moved")),
+        bool(f.get("Reconnect") or f.get("AgainByClient")),
+    )
 
 
 def load(f: dict) -> Load | None:
@@ -75,12 +135,23 @@
     if r is None:
         return None
     setup = r.get("svc_ms")
-    return Load(r.get("x0"), r.get("cpu_share"), r.get("x1"), r.get("busy_reqs"), r.get("pending"),
-                None if setup is None else setup / 1000, r.get("served_ps"), r.get("failed_ps"))
+    return Load(
+        r.get("x0"),
+        r.get("cpu_share"),
+        r.get("x1"),
+        r.get("busy_reqs"),
+        r.get("pending"),
+        None if setup is None else setup / 1000,
+        r.get("served_ps"),
+        r.get("failed_ps"),
+    )
 
 
 MESSAGES = {
-    "tune_in": lambda vw, st, time_out: ("Transmit", {"Ref": vw, "Streamer": st, "Patience": time_out * 1000}),
+    "tune_in": lambda vw, st, time_out: (
+        "Transmit",
+        {"Ref": vw, "Streamer": st, "Patience": time_out * 1000},
+    ),
     "rung": lambda vw, rung: ("StepTo", {"Ref": vw, "TierNo": rung}),
     "block": lambda vw, come_back: ("PushBack", {"Ref": vw, "HoldOff": come_back * 1000}),
     "abort": lambda vw: ("GiveUp", {"Ref": vw}),
--- a/herongap/benchlink/link.py
+++ b/herongap/benchlink/link.py
@@ -1,4 +1,5 @@
 """The loop: each event becomes one call on its instance, each decision one message."""
+
 import json
 
 from herongap.benchlink import codec
@@ -14,8 +15,12 @@
 
 def note(f: dict):
     """A note's kind picks the call; kinds not known here are passed over."""
-    calls = {1: ("share_told", f["Streamer"]), 2: ("rung_told", f["Ref"]),
-             3: ("link_told", f["Streamer"], f["Ref"]), 4: ("rack_told", f["Streamer"], f["Ref"])}
+    calls = {
+        1: ("share_told", f["Streamer"]),
+        2: ("rung_told", f["Ref"]),
+        3: ("link_told", f["Streamer"], f["Ref"]),
+        4: ("rack_told", f["Streamer"], f["Ref"]),
+    }
     call = calls.get(f["Sort"])
     return call and (*call, f["Amount"])
 
@@ -29,8 +34,16 @@
     "WorkItem": lambda f: ("asked", codec.asked(f)),
     "Handover": lambda f: ("handed", codec.asked(f), f["Streamer"]),
     "Begun": lambda f: ("started", f["Ref"], f["Shot"], f["Streamer"], f["TimeTaken"] / 1000),
-    "Answer": lambda f: ("ended", f["Ref"], f["Shot"], f["Streamer"], ending(f), f["TimeTaken"] / 1000,
-                         bool(f.get("NoMore")), codec.load(f)),
+    "Answer": lambda f: (
+        "ended",
+        f["Ref"],
+        f["Shot"],
+        f["Streamer"],
+        ending(f),
+        f["TimeTaken"] / 1000,
+        bool(f.get("NoMore")),
+        codec.load(f),
+    ),
     "Change": note,
     "Abandoned": lambda f: ("left", f["Ref"]),
     "Ring": lambda f: ("woke",),
@@ -56,7 +69,7 @@
             if not line.strip():
                 continue
             try:
-                (name, f), = json.loads(line).items()
+                ((name, f),) = json.loads(line).items()
                 if name == "Turn":
                     self.now = f["Moment"] / 1000
                 elif name == "YourTurn":
@@ -65,7 +78,8 @@
                 else:
                     call = self.read(name, f)
             except (KeyError, TypeError, ValueError, AttributeError) as fault:
-                raise Malformed(f"cannot read {line[:200].decode(errors='replace').strip()!r}: {fault!r}") from fault
+                text = line[:200].decode(errors="replace").strip()
+                raise Malformed(f"cannot read {text!r}: {fault!r}") from fault
             if name not in ("Turn", "YourTurn", "List"):
                 self.tell(f["I"], name, call, touched, replies)
 
--- a/herongap/interface.py
+++ b/herongap/interface.py
@@ -1,13 +1,14 @@
 """The types that pass between a host and the deciding module (`herongap.rules.Controller`).
 
-A host tells the module what it sees by plain method calls, then calls `decide(now)` until it returns None.
-Times are seconds with fractions on the host's clock; rates are kB a second; ids are handed back untouched.
+A host tells the module what it sees by plain method calls, then calls `decide(now)` until it
+returns None. Times are seconds with fractions on the host's clock; rates are kB a second;
+ids are handed back untouched.
 
 Each decision is a tuple, a verb and its operands:
 
     ("tune_in", viewing, streamer, time_out)   ask the streamer to start the viewing
     ("rung", viewing, rung)                    set the rung, before the tune-in or while it plays
-    ("block", viewing, come_back)              final answer: turned away; come_back in seconds, 0 for no advice
+    ("block", viewing, come_back)              final answer: turned away; come_back in seconds, 0: no advice
     ("abort", viewing)                         final answer: it failed
     ("call_off", viewing, number)              stop waiting for that tune-in
     ("move", viewing)                          take a playing viewing off its streamer
@@ -16,6 +17,7 @@
     ("tell", peer, words)                      a short message to one controller, -1 for all
     ("wake", at)                               call woke() at that time
 """
+
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
@@ -23,6 +25,7 @@
 
 class Repeat(Enum):
     """What a second set-up of one viewing would do."""
+
     HARMLESS = 1
     IN_GROUP = 2
     HARMFUL = 3
@@ -30,6 +33,7 @@
 
 class Group(Enum):
     """The streamers among which a repeat of an IN_GROUP package is recognised."""
+
     ALL = 1
     ZONE = 2
     CELL = 3
@@ -37,6 +41,7 @@
 
 class Ending(Enum):
     """How a tune-in, or the viewing it started, ended."""
+
     PLAYED = 1
     FAULTY = 2
     FULL = 3
@@ -50,6 +55,7 @@
 
 class Standing(Enum):
     """What the list says of a streamer."""
+
     ACTIVE = 1
     LEAVING = 2
     LEFT = 3
@@ -57,6 +63,7 @@
 
 class Package(NamedTuple):
     """One package of viewings and its terms."""
+
     name: str
     join_target: float
     stretch: float
@@ -74,6 +81,7 @@
 
 class Member(NamedTuple):
     """A tenant: viewings a second within its share, over all controllers; 0 where none is stated."""
+
     name: str
     per_second: float
 
@@ -81,6 +89,7 @@
 @dataclass(frozen=True, slots=True)
 class Charter:
     """What a deployment states at start, in our units."""
+
     me: int
     controllers: int
     zone: str
@@ -125,6 +134,7 @@
 
 class Listed(NamedTuple):
     """One line of the list of streamers; started is None when it has run for long."""
+
     streamer: int
     zone: str
     kind: str
@@ -136,6 +146,7 @@
 
 class Asked(NamedTuple):
     """A request for a viewing; left is what remains of the viewer's patience, length a hint or None."""
+
     viewing: int
     viewer: int
     package: str
@@ -152,6 +163,7 @@
 
 class Load(NamedTuple):
     """A streamer's own report; None where it does not say."""
+
     link: float | None = None
     link_capped: float | None = None
     rack: float | None = None
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -25,9 +25,10 @@
 OVER, RAISE = 1.0, 0.80  # use above which playing viewings are cut, and under which they may be raised
 DWELL = 8.0             # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
-STRIKES, AWAY, AWAY_MORE = 2.0, 4.0, 2.0  # failures that set a streamer aside, for how long, and the random part
+STRIKES = 2.0           # failures that set a streamer aside
+AWAY, AWAY_MORE = 4.0, 2.0  # for how long, and the random part
 HOLD = 0.4              # part of the join target that a viewing without room is held
-FIRST, TYPICAL = 0.45, 4.0  # time-out: at most this part of the join target, this many times the usual set-up
+FIRST = 0.45            # part of the join target that a first tune-in may take
 FADE = 8.0              # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
 COME_BACK = 0.5
@@ -82,8 +83,8 @@
     """The derived figures of one package."""
 
     def __init__(self, p: Package, ladder: tuple[float, ...], worths: tuple[float, ...], live_adds: float):
-        self.name, self.join, self.floor, self.top, self.seats = p.name, p.join_target, p.floor, p.top, p.seats
-        self.repeat, self.group, self.window = p.repeat, p.group, p.repeat_window
+        self.name, self.join, self.floor, self.top = p.name, p.join_target, p.floor, p.top
+        self.seats, self.repeat, self.group, self.window = p.seats, p.repeat, p.group, p.repeat_window
         self.rates = [kb * p.scale for kb in ladder]
         # Value for each kB a second that the step up to a rung brings: cheapest steps are cut first.
         self.gain = [p.value * (w - v) / max(kb - k, 1e-9) for w, v, kb, k in
@@ -97,8 +98,8 @@
         c = charter
         self.seed, self.draws, self.zone, self.me, self.controllers = seed, 0, c.zone, c.me, c.controllers
         self.packages = {p.name: Terms(p, c.ladder, c.worths, c.join_adds) for p in c.packages}
-        self.cells, self.racks_in_use, self.per_weight, self.places = c.cells, max(1, c.racks), c.link_per_weight, c.places
-        self.racks = {r: Pipe(c.rack_link) for r in range(self.racks_in_use)}
+        self.cells, self.per_weight, self.places = c.cells, c.link_per_weight, c.places
+        self.racks = [Pipe(c.rack_link) for _ in range(max(1, c.racks))]
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
         self.can_probe, self.follow, self.come_back = c.probes, c.must_follow, min(c.come_back, COME_BACK)
         self.extra = c.extra_free is not None and (c.extra_free, c.extra_share, c.extra_window)
@@ -109,13 +110,14 @@
         self.viewings: dict[int, Viewing] = {}
         self.waiting: dict[int, Viewing] = {}
         self.seats: dict[tuple, int] = defaultdict(int)
-        self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])  # viewings, seconds, score sum
+        # A cell: viewings, seconds played, score summed over those seconds.
+        self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.ranks: dict[tuple, float] = {}
         self.mean: dict[str, float] = {}
         self.turn: dict[str, int] = {}
         self.taken: deque[float] = deque()
         self.extras: deque[float] = deque()
-        self.usual, self.setup = 0.0, 0.1
+        self.usual = 0.0
         self.due: list[tuple] = []
         self.order = 0
         self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
@@ -133,7 +135,8 @@
             if st is None:
                 if line.standing is Standing.LEFT:
                     continue
-                st = self.streamers[line.streamer] = Streamer(line, Pipe(self.per_weight * max(line.weight, 0.01)))
+                st = Streamer(line, Pipe(self.per_weight * max(line.weight, 0.01)))
+                self.streamers[line.streamer] = st
             if line.started is not None and line.started > st.started:
                 st.started, st.strikes, st.share = line.started, 0.0, 1.0
             st.line, st.full = line, self.per_weight * max(line.weight, 0.01)
@@ -145,7 +148,8 @@
         self.look = True
 
     def asked(self, now: float, ask: Asked) -> None:
-        vw = self.viewings[ask.viewing] = self.waiting[ask.viewing] = Viewing(ask, self.packages[ask.package], now)
+        vw = Viewing(ask, self.packages[ask.package], now)
+        self.viewings[vw.id] = self.waiting[vw.id] = vw
         self.taken.append(now)
         self.at(min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id)
         self.look = True
@@ -192,7 +196,6 @@
     def started(self, now: float, viewing: int, number: int, streamer: int, taken: float) -> None:
         vw, st = self.viewings.get(viewing), self.streamers[streamer]
         st.strikes = 0.0
-        self.setup += 0.1 * (taken - self.setup)
         if vw is not None:
             vw.playing, vw.stepped = True, now
             self.table[vw.package.name, streamer][0] += 1
@@ -280,11 +283,13 @@
         if vw.top < p.floor or vw.tries >= self.tune_ins or vw.until - now < 0.05:
             self.give_up(vw)
             return True
-        if (vw.tries and not self.may_repeat(now)) or (p.seats and self.seats[vw.ask.title, p.name] >= p.seats):
+        seated = p.seats and self.seats[vw.ask.title, p.name] >= p.seats
+        if seated or (vw.tries and not self.may_repeat(now)):
             return False
-        ready = [st for st in self.streamers.values() if st.line.cell in cells and st.line.standing is Standing.ACTIVE
-                 and st.back <= now and st.line.streamer not in vw.tried and self.repeats_at(now, vw, st)
-                 and self.paced(now, st) and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
+        ready = [st for st in self.streamers.values() if st.line.cell in cells and st.back <= now
+                 and st.line.standing is Standing.ACTIVE and st.line.streamer not in vw.tried
+                 and self.repeats_at(now, vw, st) and self.paced(now, st)
+                 and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
         for rung in range(vw.top, p.floor - 1, -1):
             room = [st for st in ready if self.use(now, st, p.rates[rung]) <= MARK]
             if room:
@@ -319,7 +324,8 @@
             st.slot = int(now / self.slot)
         self.put(now, vw, st)
         left = vw.until - now
-        most = min(FIRST * vw.package.join if vw.tries == 1 else max(vw.aim - now, FIRST * vw.package.join), left)
+        first = FIRST * vw.package.join
+        most = min(first if vw.tries == 1 else max(vw.aim - now, first), left)
         self.answers.append(("rung", vw.id, rung))
         self.answers.append(("tune_in", vw.id, st.line.streamer, most))
 
@@ -328,7 +334,8 @@
         self.waiting.pop(vw.id)
         self.viewings.pop(vw.id)
         p = vw.package
-        harm = vw.ran and (p.repeat is Repeat.HARMFUL or (p.repeat is Repeat.IN_GROUP and p.group is not Group.ALL))
+        marked = p.repeat is Repeat.IN_GROUP and p.group is not Group.ALL
+        harm = vw.ran and (p.repeat is Repeat.HARMFUL or marked)
         self.answers.append(("abort", vw.id) if harm else ("block", vw.id, self.come_back))
 
     def may_repeat(self, now: float) -> bool:
@@ -352,14 +359,14 @@
                 p.group is Group.ZONE or cell == st.line.cell))) for zone, cell, sent in vw.ran)
 
     def paced(self, now: float, st: Streamer) -> bool:
-        """Cold streamers take one set-up in each of this controller's own slots: together that is the pace."""
+        """Cold streamers take one set-up in each of this controller's own slots."""
         if now - st.started >= self.warm_up:
             return True
         slot = int(now / self.slot)
         return slot % self.controllers == self.me and slot != st.slot
 
     def failed(self, now: float, vw: Viewing, st: Streamer, how: Ending) -> None:
-        # A failing streamer plays no seconds, so its stale high score would keep winning: the cell hears of it.
+        # A failing streamer plays no seconds, so its stale high score would keep winning.
         cell = self.table[vw.package.name, st.line.streamer]
         cell[1] += FAIL_SECONDS
         cell[2] -= FAIL_SECONDS * 370
@@ -379,7 +386,8 @@
             cell[:] = cell[0] * fade, cell[1] * fade, cell[2] * fade
         for st in self.streamers.values():
             age = now - st.started
-            st.link.size = st.full * min(1.0, self.cold_start + (1 - self.cold_start) * max(0.0, age) / self.warm_up)
+            warmth = self.cold_start + (1 - self.cold_start) * max(0.0, age) / self.warm_up
+            st.link.size = st.full * min(1.0, warmth)
             for vw in st.held.values():
                 if vw.playing:
                     cell = self.table[vw.package.name, st.line.streamer]
@@ -415,7 +423,8 @@
             if use <= OVER:
                 continue
             if held is None:
-                held = [vw for other in self.streamers.values() if self.rack(other) is pipe for vw in other.held.values()]
+                held = [vw for other in self.streamers.values() if self.rack(other) is pipe
+                        for vw in other.held.values()]
             goal = pipe.own * MARK / use
             while pipe.own > goal:
                 down = [vw for vw in held if vw.playing and vw.rung > vw.package.floor]
@@ -456,7 +465,7 @@
         return max(st.link.use(now, self.usual, more), self.rack(st).use(now, self.usual, more))
 
     def rack(self, st: Streamer) -> Pipe:
-        return self.racks[st.line.cell % self.racks_in_use]
+        return self.racks[st.line.cell % len(self.racks)]
 
     def at(self, when: float, what: str, who: int) -> None:
         self.order += 1
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -1,4 +1,5 @@
 """Plain cases of the design's choices."""
+
 from helpers import ask, charter, controller, pull
 
 from herongap.interface import Ending
