--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -22,8 +22,8 @@
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 TIE = 0.10              # scores this close to the best tie
 MARK = 0.90             # part of a link or uplink that set-ups may fill
-OVER, RAISE = 1.0, 0.80  # use above which playing viewings are cut, and under which they may be raised
-DWELL = 8.0             # a viewing is not raised sooner after its last step
+OVER, RAISE = 1.05, 0.80  # use above which playing viewings are cut, and under which they may be raised
+DWELL = 12.0            # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
 STRIKES = 2.0           # failures that set a streamer aside
 AWAY, AWAY_MORE = 4.0, 2.0  # for how long, and the random part
@@ -412,9 +412,10 @@
         up = [vw for vw in st.held.values() if vw.playing and vw.rung < vw.top and now - vw.stepped >= DWELL]
         for vw in sorted(up, key=lambda vw: -vw.package.gain[vw.rung + 1]):
             rates = vw.package.rates
-            if self.use(now, st, rates[vw.rung + 1] - rates[vw.rung]) <= RAISE:
-                self.step(now, vw, vw.rung + 1)
-                return
+            for rung in range(vw.top, vw.rung, -1):
+                if self.use(now, st, rates[rung] - rates[vw.rung]) <= RAISE:
+                    self.step(now, vw, rung)
+                    return
 
     def cut(self, now: float, st: Streamer) -> None:
         """Step down this controller's own part of what is asked too much, cheapest steps first."""
@@ -425,13 +426,17 @@
             if held is None:
                 held = [vw for other in self.streamers.values() if self.rack(other) is pipe
                         for vw in other.held.values()]
-            goal = pipe.own * MARK / use
+            # Each step costs the viewer: all that one viewing gives up goes in a single step.
+            goal, stepped = pipe.own * MARK / use, {}
             while pipe.own > goal:
                 down = [vw for vw in held if vw.playing and vw.rung > vw.package.floor]
                 if not down:
                     break
                 vw = min(down, key=lambda vw: vw.package.gain[vw.rung])
-                self.step(now, vw, vw.rung - 1)
+                self.set_rung(now, vw, vw.rung - 1)
+                stepped[vw.id] = vw
+            for vw in stepped.values():
+                self.step(now, vw, vw.rung)
 
     # Bookkeeping shared by both.
 
