--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -31,6 +31,7 @@
 FIRST = 0.45            # part of the join target that a first tune-in may take
 FADE = 8.0              # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
+PROBES = 2.0            # probes for each viewing taken, where streamers tell their load only so
 COME_BACK = 0.5
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.NOT_SENT)
 
@@ -64,7 +65,7 @@
     def __init__(self, line: Listed, link: Pipe):
         self.line, self.full, self.link = line, link.size, link
         self.share, self.strikes, self.back, self.started, self.slot = 1.0, 0.0, -1e9, -1e9, -1
-        self.held: dict[int, Viewing] = {}
+        self.asked, self.held = -1e9, {}
 
 
 class Viewing:
@@ -117,7 +118,7 @@
         self.turn: dict[str, int] = {}
         self.taken: deque[float] = deque()
         self.extras: deque[float] = deque()
-        self.usual = 0.0
+        self.usual, self.probes = 0.0, float(self.can_probe)
         self.due: list[tuple] = []
         self.order = 0
         self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
@@ -151,6 +152,7 @@
         vw = Viewing(ask, self.packages[ask.package], now)
         self.viewings[vw.id] = self.waiting[vw.id] = vw
         self.taken.append(now)
+        self.probes += PROBES
         self.at(min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id)
         self.look = True
 
@@ -186,7 +188,10 @@
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
         if load is None:
             return
-        ratio = load.link if load.link is not None else load.link_capped
+        ratio = load.link
+        if ratio is None and load.link_capped is not None:
+            # A capped figure hides how much more is asked; the share that is delivered shows it.
+            ratio = load.link_capped if load.link_capped < 0.99 else 1 / max(st.share, 0.1)
         if ratio is not None:
             st.link.told(now, ratio, 0.3)
         if load.rack is not None:
@@ -236,7 +241,10 @@
                 self.viewings.pop(viewing)
 
     def probed(self, now: float, streamer: int, how: Ending, taken: float, load: Load | None) -> None:
-        self.loaded(now, self.streamers[streamer], load)
+        st = self.streamers[streamer]
+        self.loaded(now, st, load)
+        if how is not Ending.PLAYED:
+            self.strike(now, st, 1, True)
 
     def heard(self, now: float, peer: int, words: bytes) -> None:
         pass
@@ -370,11 +378,14 @@
         cell = self.table[vw.package.name, st.line.streamer]
         cell[1] += FAIL_SECONDS
         cell[2] -= FAIL_SECONDS * 370
-        st.strikes += 2 if vw.playing or how is Ending.UNREACHED else 1
+        self.strike(now, st, 2 if vw.playing or how is Ending.UNREACHED else 1, how is not Ending.FAULTY)
+
+    def strike(self, now: float, st: Streamer, count: int, lost: bool) -> None:
+        st.strikes += count
         if st.strikes >= STRIKES and now >= st.back:
             st.back = now + AWAY + AWAY_MORE * self.chance()
             st.strikes = STRIKES - 1
-            if how is not Ending.FAULTY:
+            if lost:
                 # It may come back cold before the list says so.
                 st.started = max(st.started, st.back)
 
@@ -407,6 +418,12 @@
         for st in live:
             if st.held:
                 self.raise_one(now, st)
+        if self.can_probe:
+            self.probes = min(self.probes, float(len(live)))
+            for st in sorted(live, key=lambda st: max(st.link.heard, st.asked))[:int(self.probes)]:
+                if st.back <= now:
+                    st.asked, self.probes = now, self.probes - 1
+                    self.answers.append(("probe", st.line.streamer))
 
     def raise_one(self, now: float, st: Streamer) -> None:
         up = [vw for vw in st.held.values() if vw.playing and vw.rung < vw.top and now - vw.stepped >= DWELL]
