--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -22,6 +22,7 @@
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 TIE = 0.10              # scores this close to the best tie
 MARK = 0.90             # part of a link or uplink that set-ups may fill
+AHEAD = 2.0             # a rung above the floor must fit so many times: room for those who come next
 OVER, RAISE = 1.05, 0.80  # use above which playing viewings are cut, and under which they may be raised
 DWELL = 12.0            # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
@@ -299,7 +300,8 @@
                  and self.repeats_at(now, vw, st) and self.paced(now, st)
                  and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
         for rung in range(vw.top, p.floor - 1, -1):
-            room = [st for st in ready if self.use(now, st, p.rates[rung]) <= MARK]
+            more = p.rates[rung] * (AHEAD if rung > p.floor else 1)
+            room = [st for st in ready if self.use(now, st, more) <= MARK]
             if room:
                 self.send(now, vw, self.pick(now, vw, room), rung)
                 return True
