Cut once for one shortage, and lay it to the fuller of link and uplink

Cause: smoothed notes, a second late, kept telling of a shortage already cut; and shortage of an uplink was laid to the link. May harm when a second, larger shortage comes within those seconds.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -24,6 +24,7 @@
 MARK = 0.90             # part of a link or uplink that set-ups may fill
 AHEAD = 2.0             # a rung above the floor must fit so many times: room for those who come next
 OVER, RAISE = 1.05, 0.80  # use above which playing viewings are cut, and under which they may be raised
+SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
 DWELL = 12.0            # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
 STRIKES = 2.0           # failures that set a streamer aside
@@ -41,7 +42,7 @@
     """A link or a rack's uplink: what this controller asks of it and what it heard of the rest."""
 
     def __init__(self, size: float):
-        self.size, self.own, self.rest, self.heard = size, 0.0, 0.0, -1e9
+        self.size, self.own, self.rest, self.heard, self.eased = size, 0.0, 0.0, -1e9, -1e9
         self.past: deque[tuple[float, float]] = deque()
 
     def add(self, now: float, kb: float) -> None:
@@ -170,7 +171,9 @@
     def share_told(self, now: float, streamer: int, share: float) -> None:
         st = self.streamers[streamer]
         st.share = min(1.0, share)
-        st.link.told(now, 1 / max(share, 0.1), self.late)
+        # Either the link or the rack's uplink is short: the fuller by estimate.
+        pipe = max(st.link, self.rack(st), key=lambda pipe: pipe.use(now, self.usual))
+        pipe.told(now, 1 / max(share, 0.1), self.late)
         self.over.add(streamer)
 
     def link_told(self, now: float, streamer: int, viewing: int, ratio: float) -> None:
@@ -440,8 +443,10 @@
         """Step down this controller's own part of what is asked too much, cheapest steps first."""
         for pipe, held in ((st.link, list(st.held.values())), (self.rack(st), None)):
             use = pipe.use(now, self.usual)
-            if use <= OVER:
+            # Words about the time before the last cut would cut twice for one shortage.
+            if use <= OVER or now - pipe.eased < self.late + SETTLE:
                 continue
+            pipe.eased = now
             if held is None:
                 held = [vw for other in self.streamers.values() if self.rack(other) is pipe
                         for vw in other.held.values()]
