--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -18,7 +18,7 @@
 
 PERIOD = 0.5            # the timer: scores, raises, probes
 RANKS = 5.0             # ranks refresh
-WINDOW = 30.0           # how fast old viewings fade from a cell
+WINDOW = 60.0           # how fast old viewings fade from a cell
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 TIE = 0.10              # scores this close to the best tie
 MARK = 0.90             # part of a link or uplink that set-ups may fill
