Set silent streamers aside, and take the median for what others ask

A test showed that one silent streamer alone still spoilt the estimate, so its share is no longer taken as load at all.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -12,6 +12,7 @@
 """
 from collections import defaultdict, deque
 from heapq import heappop, heappush
+from statistics import median
 from zlib import crc32
 
 from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Package, Repeat, Standing
@@ -28,6 +29,7 @@
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
 DWELL = 12.0            # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
+SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
 STRIKES = 2.0           # failures that set a streamer aside
 AWAY, AWAY_MORE = 4.0, 2.0  # for how long, and the random part
 HOLD = 0.4              # part of the join target that a viewing without room is held
@@ -173,6 +175,10 @@
     def share_told(self, now: float, streamer: int, share: float) -> None:
         st = self.streamers[streamer]
         st.share = min(1.0, share)
+        if share < SILENT:
+            # No shortage but a streamer gone silent or cut off: taken as load, it made every link look full.
+            self.strike(now, st, STRIKES, True)
+            return
         # Either the link or the rack's uplink is short: the fuller by estimate.
         pipe = max(st.link, self.rack(st), key=lambda pipe: pipe.use(now, self.usual))
         pipe.told(now, 1 / max(share, 0.1), self.late)
@@ -424,7 +430,8 @@
         fresh = [st.link.rest / st.link.size for st in live if now - st.link.heard < FADE]
         total = sum(st.link.size for st in live) or 1.0
         own = sum(st.link.own for st in live) / total
-        self.usual = max(0.0, sum(fresh) / len(fresh) if fresh else own * (self.controllers - 1))
+        # The median: one failing streamer's word must not make every other link look full.
+        self.usual = max(0.0, median(fresh) if fresh else own * (self.controllers - 1))
         for st in live:
             if st.held:
                 self.raise_one(now, st)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -39,3 +39,15 @@
         pull(c, i + 0.5)
     c.asked(2.0, ask(9, holders=1))
     assert not any(d[0] == "tune_in" for d in pull(c, 2.0))
+
+
+def test_a_silent_streamer_is_set_aside_and_says_nothing_of_the_others():
+    c = controller()
+    c.asked(0.0, ask(1, top=0))
+    silent = next(d[2] for d in pull(c, 0.0) if d[0] == "tune_in")
+    c.started(0.1, 1, 0, silent, 0.1)
+    c.share_told(2.0, silent, 0.03)
+    pull(c, 2.0)
+    c.asked(2.1, ask(2))
+    sent = [d for d in pull(c, 2.1) if d[0] in ("rung", "tune_in")]
+    assert sent[0][2] == 2 and sent[1][2] != silent
