--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -27,6 +27,7 @@
 OVER = 1.1             # use above which playing viewings are cut
 RAISE = 0.7            # use under which they may be raised
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
+TAKEN_OVER = 2.0        # a viewing handed over may be raised so soon
 DWELL = 12.0            # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
 SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
@@ -165,7 +166,8 @@
     def handed(self, now: float, ask: Asked, streamer: int) -> None:
         vw = self.viewings[ask.viewing] = Viewing(ask, self.packages[ask.package], now)
         self.put(now, vw, self.streamers[streamer])
-        vw.playing, vw.tries = True, 1
+        # Nobody here chose its rung: it may be raised as soon as its streamer has been heard of.
+        vw.playing, vw.tries, vw.stepped = True, 1, now - DWELL + TAKEN_OVER
         self.table[vw.package.name, streamer][0] += 1
 
     def rung_told(self, now: float, viewing: int, rung: float) -> None:
