--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -22,8 +22,8 @@
 WINDOW = 60.0           # how fast old viewings fade from a cell
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 TIE = 0.10              # scores this close to the best tie
-MARK = 0.90             # part of a link or uplink that set-ups may fill
-AHEAD = 2.0             # a rung above the floor must fit so many times: room for those who come next
+MARK = 0.95             # part of a link or uplink that set-ups may fill
+AHEAD = 0.5             # a rung above the floor must fit so many times more for each controller
 OVER = 1.1             # use above which playing viewings are cut
 RAISE = 0.7            # use under which they may be raised
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
@@ -109,6 +109,8 @@
         self.cells, self.per_weight, self.places = c.cells, c.link_per_weight, c.places
         self.racks = [Pipe(c.rack_link) for _ in range(max(1, c.racks))]
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
+        # All controllers see the same room at the same time: the more there are, the more must be left.
+        self.ahead = 1 + AHEAD * c.controllers
         self.can_probe, self.follow, self.come_back = c.probes, c.must_follow, min(c.come_back, COME_BACK)
         self.extra = c.extra_free is not None and (c.extra_free, c.extra_share, c.extra_window)
         self.warm_up, self.cold_start = c.warm_up, c.cold_start
@@ -316,7 +318,7 @@
                  and self.repeats_at(now, vw, st) and self.paced(now, st)
                  and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
         for rung in range(vw.top, p.floor - 1, -1):
-            more = p.rates[rung] * (AHEAD if rung > p.floor else 1)
+            more = p.rates[rung] * (self.ahead if rung > p.floor else 1)
             room = [st for st in ready if self.use(now, st, more) <= MARK]
             if room:
                 self.send(now, vw, self.pick(now, vw, room), rung)
