--- a/herongap/benchlink/codec.py
+++ b/herongap/benchlink/codec.py
@@ -1,6 +1,6 @@
 """The wire's fields in our types, and our decisions as wire messages; milliseconds become seconds."""
 
-from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Member, Package, Repeat, Standing
+from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Package, Repeat, Standing
 
 ENDINGS = {
     "OK": Ending.PLAYED,
@@ -24,51 +24,33 @@
 
 
 def charter(conf: dict) -> Charter:
-    """The settings of one instance."""
+    """The settings of one instance; keys not named here are passed over."""
     info, allowed, rules = conf["FamilyInfo"], conf["Allowed"], conf["Invariants"]
-    prices = conf.get("Prices", {})
     free = rules.get("MinExtra")
     return Charter(
         me=int(conf["Me"]),
         controllers=int(conf["FleetSize"]),
-        zone=conf["Locality"],
         packages=tuple(package(g, info, i) for i, g in enumerate(conf["Grades"])),
-        members=tuple(Member(t["Name"], float(t.get("QuotaRps") or 0)) for t in conf.get("Tenants") or ()),
-        over_share=float(conf.get("OverShareWorth", 1)),
         ladder=tuple(map(float, info["LadderKb"])),
         worths=tuple(map(float, info["LevelWorth"])),
-        stall=float(info.get("Stall", 0)),
-        step_cost=float(info.get("SwitchS", 0)),
         join_adds=float(info.get("JoinAdds", 1)),
         cells=int(info["Places"]),
         racks=int(info["Racks"]),
         link_per_weight=float(info["KbPerWeight"]),
-        weights_told=conf.get("Weights", "off") != "off",
-        fleet_links=float(info.get("FleetKb", 0)),
         rack_link=float(info["RackLinkKb"]),
         places=dict(zip(conf["Skus"], map(int, info["KindSlots"]), strict=False)),
         full_from=float(info.get("RefusesFrom", 0)),
         told_late=info.get("ToldLate", 0) / 1000,
-        tell_every=info.get("Tell", 0) / 1000,
         tune_ins=int(allowed["MaxAttempts"]),
         probes=bool(allowed.get("Probes")),
-        messages=bool(allowed.get("PeerMessages")),
-        call_offs=bool(allowed.get("Cancelling")),
         come_back=allowed.get("MaxRetryAfter", 0) / 1000 if allowed.get("RetryAfter") else 0.0,
         must_follow=conf.get("RegistryMode") == "ask",
-        answer_slack=rules.get("AnswerSlack", 0) / 1000,
-        drain_grace=rules.get("DrainGrace", 0) / 1000,
         warm_up=rules["RampTime"] / 1000,
         cold_start=float(rules["StartCapacity"]),
         fall_multiple=float(rules["FallMultiple"]),
-        fall_after=rules["TipAfter"] / 1000,
         extra_free=None if free is None else float(free),
         extra_share=float(rules.get("RepeatRatio") or 0),
         extra_window=(rules.get("LookBack") or 0) / 1000,
-        price_move=float(prices.get("Moves", 0)),
-        price_probe=float(prices.get("Probe", 0)),
-        price_message=float(prices.get("Peer", 0)),
-        price_cross=float(prices.get("CrossZone", 0)),
     )
 
 
@@ -82,8 +64,6 @@
     return Package(
         name=grade["Name"],
         join_target=grade["Aim"] / 1000,
-        stretch=float(grade.get("AimStretch") or 0),
-        patience=grade["Deadline"] / 1000,
         value=float(grade.get("Credit", 1)),
         repeat=REPEATS[grade["Idempotency"]],
         group=GROUPS[grade.get("Group", "all")],
@@ -130,21 +110,9 @@
 
 
 def load(f: dict) -> Load | None:
-    """A load report, its unknown values passed over."""
+    """A load report; what the module does not use is passed over."""
     r = f.get("Feedback")
-    if r is None:
-        return None
-    setup = r.get("svc_ms")
-    return Load(
-        r.get("x0"),
-        r.get("cpu_share"),
-        r.get("x1"),
-        r.get("busy_reqs"),
-        r.get("pending"),
-        None if setup is None else setup / 1000,
-        r.get("served_ps"),
-        r.get("failed_ps"),
-    )
+    return None if r is None else Load(r.get("x0"), r.get("cpu_share"), r.get("x1"))
 
 
 MESSAGES = {
--- a/herongap/interface.py
+++ b/herongap/interface.py
@@ -66,8 +66,6 @@
 
     name: str
     join_target: float
-    stretch: float
-    patience: float
     value: float
     repeat: Repeat
     group: Group
@@ -79,57 +77,33 @@
     live: bool
 
 
-class Member(NamedTuple):
-    """A tenant: viewings a second within its share, over all controllers; 0 where none is stated."""
-
-    name: str
-    per_second: float
-
-
 @dataclass(frozen=True, slots=True)
 class Charter:
     """What a deployment states at start, in our units."""
 
     me: int
     controllers: int
-    zone: str
     packages: tuple[Package, ...]
-    members: tuple[Member, ...]
-    over_share: float
     ladder: tuple[float, ...]
     worths: tuple[float, ...]
-    stall: float
-    step_cost: float
     join_adds: float
     cells: int
     racks: int
     link_per_weight: float
-    weights_told: bool
-    fleet_links: float
     rack_link: float
     places: dict[str, int]
     full_from: float
     told_late: float
-    tell_every: float
     tune_ins: int
     probes: bool
-    messages: bool
-    call_offs: bool
     come_back: float
     must_follow: bool
-    answer_slack: float
-    drain_grace: float
     warm_up: float
     cold_start: float
     fall_multiple: float
-    fall_after: float
     extra_free: float | None
     extra_share: float
     extra_window: float
-    price_move: float
-    price_probe: float
-    price_message: float
-    price_cross: float
 
 
 class Listed(NamedTuple):
@@ -162,13 +136,8 @@
 
 
 class Load(NamedTuple):
-    """A streamer's own report; None where it does not say."""
+    """A streamer's own report of what is asked over what is given; None where it does not say."""
 
     link: float | None = None
     link_capped: float | None = None
     rack: float | None = None
-    streams: float | None = None
-    waiting: float | None = None
-    setup_time: float | None = None
-    setups: float | None = None
-    failing: float | None = None
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -10,7 +10,7 @@
  4. cuts and raises: playing viewings step down where a link is over-asked, and up slowly where there is room
  5. word of others: notes and reports correct the link estimate, and fade to what others usually ask
 """
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from heapq import heappop, heappush
 from statistics import median
 from zlib import crc32
@@ -72,7 +72,7 @@
     def __init__(self, line: Listed, link: Pipe):
         self.line, self.full, self.link = line, link.size, link
         self.share, self.strikes, self.back, self.started, self.slot = 1.0, 0.0, -1e9, -1e9, -1
-        self.asked, self.held = -1e9, {}
+        self.asked, self.held, self.shown = -1e9, {}, Counter()
 
 
 class Viewing:
@@ -90,10 +90,11 @@
 class Terms:
     """The derived figures of one package."""
 
-    def __init__(self, p: Package, ladder: tuple[float, ...], worths: tuple[float, ...], live_adds: float):
+    def __init__(self, p: Package, ladder: tuple[float, ...], worths: tuple[float, ...], join_adds: float):
         self.name, self.join, self.floor, self.top = p.name, p.join_target, p.floor, p.top
         self.seats, self.repeat, self.group, self.window = p.seats, p.repeat, p.group, p.repeat_window
         self.rates = [kb * p.scale for kb in ladder]
+        self.adds = join_adds if p.live else 1.0
         # Value for each kB a second that the step up to a rung brings: cheapest steps are cut first.
         self.gain = [p.value * (w - v) / max(kb - k, 1e-9) for w, v, kb, k in
                      zip(worths, (0.0, *worths), self.rates, (0.0, *self.rates), strict=False)]
@@ -104,7 +105,7 @@
 
     def __init__(self, now: float, seed: int, charter: Charter):
         c = charter
-        self.seed, self.draws, self.zone, self.me, self.controllers = seed, 0, c.zone, c.me, c.controllers
+        self.seed, self.draws, self.me, self.controllers = seed, 0, c.me, c.controllers
         self.packages = {p.name: Terms(p, c.ladder, c.worths, c.join_adds) for p in c.packages}
         self.cells, self.per_weight, self.places = c.cells, c.link_per_weight, c.places
         self.racks = [Pipe(c.rack_link) for _ in range(max(1, c.racks))]
@@ -487,24 +488,30 @@
 
     def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
         if vw.streamer is not None:
-            more = vw.package.rates[rung] - vw.package.rates[vw.rung]
-            vw.streamer.link.add(now, more)
-            self.rack(vw.streamer).add(now, more)
+            self.ask(now, vw, -1)
         vw.rung = rung
+        if vw.streamer is not None:
+            self.ask(now, vw, 1)
 
     def put(self, now: float, vw: Viewing, st: Streamer) -> None:
         vw.streamer = st
         st.held[vw.id] = vw
         self.seats[vw.ask.title, vw.package.name] += 1
-        st.link.add(now, vw.package.rates[vw.rung])
-        self.rack(st).add(now, vw.package.rates[vw.rung])
+        self.ask(now, vw, 1)
 
     def drop(self, now: float, vw: Viewing) -> None:
-        st, vw.streamer = vw.streamer, None
-        del st.held[vw.id]
+        self.ask(now, vw, -1)
+        del vw.streamer.held[vw.id]
+        vw.streamer = None
         self.seats[vw.ask.title, vw.package.name] -= 1
-        st.link.add(now, -vw.package.rates[vw.rung])
-        self.rack(st).add(now, -vw.package.rates[vw.rung])
+
+    def ask(self, now: float, vw: Viewing, sign: int) -> None:
+        # Viewers of one live title at one rung share a stream: each further one adds only a part.
+        st, key = vw.streamer, (vw.ask.title, vw.package.name, vw.rung)
+        st.shown[key] += sign
+        kb = sign * vw.package.rates[vw.rung] * (vw.package.adds if st.shown[key] + (sign < 0) > 1 else 1.0)
+        st.link.add(now, kb)
+        self.rack(st).add(now, kb)
 
     def use(self, now: float, st: Streamer, more: float = 0.0) -> float:
         return max(st.link.use(now, self.usual, more), self.rack(st).use(now, self.usual, more))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,51 +3,34 @@
 from herongap.interface import Asked, Charter, Group, Listed, Package, Repeat, Standing
 from herongap.rules import Controller
 
-NEWS = Package("news", 1.0, 0.0, 4.0, 1.0, Repeat.HARMLESS, Group.ALL, 5.0, 1.0, 0, 2, 0, False)
+NEWS = Package("news", 1.0, 1.0, Repeat.HARMLESS, Group.ALL, 5.0, 1.0, 0, 2, 0, False)
 
 
 def charter(**changes) -> Charter:
     base = dict(
         me=0,
         controllers=2,
-        zone="a",
         packages=(NEWS,),
-        members=(),
-        over_share=1.0,
         ladder=(100.0, 300.0, 900.0),
         worths=(0.3, 0.6, 1.0),
-        stall=7.0,
-        step_cost=0.5,
         join_adds=1.0,
         cells=3,
         racks=2,
         link_per_weight=6000.0,
-        weights_told=True,
-        fleet_links=18000.0,
         rack_link=12000.0,
         places={"std": 20},
         full_from=0.0,
         told_late=0.5,
-        tell_every=3.0,
         tune_ins=4,
         probes=False,
-        messages=False,
-        call_offs=True,
         come_back=1.0,
         must_follow=False,
-        answer_slack=0.04,
-        drain_grace=0.25,
         warm_up=10.0,
         cold_start=0.4,
         fall_multiple=2.5,
-        fall_after=1.0,
         extra_free=None,
         extra_share=0.0,
         extra_window=0.0,
-        price_move=0.1,
-        price_probe=0.0,
-        price_message=0.0,
-        price_cross=0.03,
     )
     return Charter(**(base | changes))
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -1,7 +1,11 @@
 """Plain cases of the design's choices."""
 
+import io
+
+import pytest
 from helpers import ask, charter, controller, pull
 
+from herongap.benchlink.link import Link, Malformed
 from herongap.interface import Ending
 
 
@@ -51,3 +55,19 @@
     c.asked(2.1, ask(2))
     sent = [d for d in pull(c, 2.1) if d[0] in ("rung", "tune_in")]
     assert sent[0][2] == 2 and sent[1][2] != silent
+
+
+def test_the_adapter_names_what_it_cannot_read_and_ends():
+    for line in (b"{not json", b'{"Nonsense":{"I":"a"}}', b'{"Spawn":{"I":"a","Seed":1,"Conf":{}}}'):
+        out = io.BytesIO()
+        with pytest.raises(Malformed, match="cannot read"):
+            Link(out).serve([b'{"Turn":{"Moment":1.0}}', line])
+        assert out.getvalue() == b""
+
+
+def test_a_failure_inside_the_module_is_reported_on_the_wire():
+    out = io.BytesIO()
+    link = Link(out)
+    link.hosted["a"] = None
+    link.serve([b'{"Turn":{"Moment":1.0}}', b'{"Ring":{"I":"a","Ctx":"wake"}}', b'{"YourTurn":{}}'])
+    assert out.getvalue().startswith(b'{"Panic": {"I": "a"') and out.getvalue().endswith(b'{"Ready":{}}\n')
