--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -38,7 +38,6 @@
 FADE = 8.0              # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
 PROBES = 2.0            # probes for each viewing taken, where streamers tell their load only so
-FULL_AWAY = 0.5         # a streamer that turned a set-up away as full is left alone so long, up to twice
 COME_BACK = 0.5
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.NOT_SENT)
 
@@ -232,8 +231,7 @@
         if vw.streamer is not None:
             self.drop(now, vw)
         if not vw.playing and how is Ending.FULL:
-            # Out of places or of link: either way it frees up by itself, and asking again at once is no help.
-            st.back = max(st.back, now + FULL_AWAY * (1 + self.chance()))
+            # Without a report of its own, a streamer that refuses by load is taken to be at that load.
             if load is None and self.full_from:
                 st.link.told(now, self.full_from, 0.0)
         elif how is Ending.BROKEN or (not vw.playing and how in (
