Answer at once when every holder was tried; forget what is over

A viewing with no holder left was held until its join target; waiting could not help it. Streamers that left, seats and streams that ended no longer pile up.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -24,8 +24,8 @@
 TIE = 0.10              # scores this close to the best tie
 MARK = 0.95             # part of a link or uplink that set-ups may fill
 AHEAD = 0.5             # a rung above the floor must fit so many times more for each controller
-OVER = 1.1             # use above which playing viewings are cut
-RAISE = 0.7            # use under which they may be raised
+OVER = 1.1              # use above which playing viewings are cut
+RAISE = 0.7             # use under which they may be raised
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
 TAKEN_OVER = 2.0        # a viewing handed over may be raised so soon
 DWELL = 12.0            # a viewing is not raised sooner after its last step
@@ -38,7 +38,8 @@
 FADE = 8.0              # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
 PROBES = 2.0            # probes for each viewing taken, where streamers tell their load only so
-COME_BACK = 0.5
+FORGET = 120.0          # seconds after which a streamer that left is forgotten
+COME_BACK = 0.5         # when a blocked viewer is told to come again, where it can be told
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.NOT_SENT)
 
 
@@ -71,7 +72,7 @@
     def __init__(self, line: Listed, link: Pipe):
         self.line, self.full, self.link = line, link.size, link
         self.share, self.strikes, self.back, self.started, self.slot = 1.0, 0.0, -1e9, -1e9, -1
-        self.asked, self.held, self.shown = -1e9, {}, Counter()
+        self.asked, self.came, self.held, self.shown = -1e9, -1e9, {}, Counter()
 
 
 class Viewing:
@@ -149,12 +150,17 @@
                 self.streamers[line.streamer] = st
             if line.started is not None and line.started > st.started:
                 st.started, st.strikes, st.share = line.started, 0.0, 1.0
+            st.came = now
             st.line, st.full = line, self.per_weight * max(line.weight, 0.01)
         if kind != "changes":
             named = {line.streamer for line in lines}
             for st in self.streamers.values():
                 if st.line.streamer not in named:
                     st.line = st.line._replace(standing=Standing.LEFT)
+        # Words on a streamer can trail its last viewing, but not by this long.
+        for sid in [sid for sid, st in self.streamers.items() if st.line.standing is Standing.LEFT
+                    and not st.held and now - max(st.link.heard, st.came) > FORGET]:
+            del self.streamers[sid]
         self.look = True
 
     def asked(self, now: float, ask: Asked) -> None:
@@ -189,18 +195,18 @@
         self.over.add(streamer)
 
     def link_told(self, now: float, streamer: int, viewing: int, ratio: float) -> None:
-        vw = self.viewings.get(viewing)
-        # The word at set-up is about now; later ones come as late as the settings say.
-        late = 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
-        self.streamers[streamer].link.told(now, ratio, late)
+        self.streamers[streamer].link.told(now, ratio, self.age(now, viewing))
         self.over.add(streamer)
 
     def rack_told(self, now: float, streamer: int, viewing: int, ratio: float) -> None:
-        vw = self.viewings.get(viewing)
-        late = 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
-        self.rack(self.streamers[streamer]).told(now, ratio, late)
+        self.rack(self.streamers[streamer]).told(now, ratio, self.age(now, viewing))
         self.over.add(streamer)
 
+    def age(self, now: float, viewing: int) -> float:
+        # The word at set-up is about now; later ones come as late as the settings say.
+        vw = self.viewings.get(viewing)
+        return 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
+
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
         if load is None:
             return
@@ -309,13 +315,17 @@
         if vw.top < p.floor or vw.tries >= self.tune_ins or vw.until - now < 0.05:
             self.give_up(vw)
             return True
+        holders = [st for st in self.streamers.values() if st.line.cell in cells
+                   and st.line.streamer not in vw.tried and self.repeats_at(now, vw, st)]
+        if vw.tries and not holders:
+            # Waiting would not help: the viewer is better off coming again.
+            self.give_up(vw)
+            return True
         seated = p.seats and self.seats[vw.ask.title, p.name] >= p.seats
         if seated or (vw.tries and not self.may_repeat(now)):
             return False
-        ready = [st for st in self.streamers.values() if st.line.cell in cells and st.back <= now
-                 and st.line.standing is Standing.ACTIVE and st.line.streamer not in vw.tried
-                 and self.repeats_at(now, vw, st) and self.paced(now, st)
-                 and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
+        ready = [st for st in holders if st.line.standing is Standing.ACTIVE and st.back <= now
+                 and self.paced(now, st) and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
         for rung in range(vw.top, p.floor - 1, -1):
             more = p.rates[rung] * (self.ahead if rung > p.floor else 1)
             room = [st for st in ready if self.use(now, st, more) <= MARK]
@@ -501,13 +511,18 @@
         self.ask(now, vw, -1)
         del vw.streamer.held[vw.id]
         vw.streamer = None
-        self.seats[vw.ask.title, vw.package.name] -= 1
+        seat = vw.ask.title, vw.package.name
+        self.seats[seat] -= 1
+        if not self.seats[seat]:
+            del self.seats[seat]
 
     def ask(self, now: float, vw: Viewing, sign: int) -> None:
         # Viewers of one live title at one rung share a stream: each further one adds only a part.
         st, key = vw.streamer, (vw.ask.title, vw.package.name, vw.rung)
         st.shown[key] += sign
         kb = sign * vw.package.rates[vw.rung] * (vw.package.adds if st.shown[key] + (sign < 0) > 1 else 1.0)
+        if not st.shown[key]:
+            del st.shown[key]
         st.link.add(now, kb)
         self.rack(st).add(now, kb)
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -71,3 +71,22 @@
     link.hosted["a"] = None
     link.serve([b'{"Turn":{"Moment":1.0}}', b'{"Ring":{"I":"a","Ctx":"wake"}}', b'{"YourTurn":{}}'])
     assert out.getvalue().startswith(b'{"Panic": {"I": "a"') and out.getvalue().endswith(b'{"Ready":{}}\n')
+
+
+def test_a_viewing_whose_holders_were_all_tried_is_answered_at_once():
+    c = controller(charter(cells=1))
+    c.asked(0.0, ask(1, holders=1))
+    pull(c, 0.0)
+    c.ended(0.1, 1, 0, 10, Ending.FULL, 0.1, False, None)
+    assert ("block", 1, 0.5) in pull(c, 0.1)
+
+
+def test_what_is_over_is_forgotten():
+    c = controller()
+    c.asked(0.0, ask(1))
+    sent = next(d[2] for d in pull(c, 0.0) if d[0] == "tune_in")
+    c.started(0.1, 1, 0, sent, 0.1)
+    c.ended(9.0, 1, 0, sent, Ending.PLAYED, 9.0, True, None)
+    c.listed(10.0, "whole", ())
+    c.listed(500.0, "whole", ())
+    assert not (c.streamers or c.viewings or c.waiting or c.seats)
