--- a/herongap/benchlink/link.py
+++ b/herongap/benchlink/link.py
@@ -18,8 +18,8 @@
     calls = {
         1: ("share_told", f["Streamer"]),
         2: ("rung_told", f["Ref"]),
-        3: ("link_told", f["Streamer"], f["Ref"]),
-        4: ("rack_told", f["Streamer"], f["Ref"]),
+        3: ("load_told", f["Streamer"], False, f["Ref"]),
+        4: ("load_told", f["Streamer"], True, f["Ref"]),
     }
     call = calls.get(f["Sort"])
     return call and (*call, f["Amount"])
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -70,7 +70,7 @@
     """What is known of one streamer."""
 
     def __init__(self, line: Listed, link: Pipe):
-        self.line, self.full, self.link = line, link.size, link
+        self.line, self.link = line, link
         self.share, self.strikes, self.back, self.started, self.slot = 1.0, 0.0, -1e9, -1e9, -1
         self.asked, self.came, self.held, self.shown = -1e9, -1e9, {}, Counter()
 
@@ -112,7 +112,7 @@
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
         # All controllers see the same room at the same time: the more there are, the more must be left.
         self.ahead = 1 + AHEAD * c.controllers
-        self.can_probe, self.follow, self.come_back = c.probes, c.must_follow, min(c.come_back, COME_BACK)
+        self.can_probe, self.come_back = c.probes, min(c.come_back, COME_BACK)
         self.extra = c.extra_free is not None and (c.extra_free, c.extra_share, c.extra_window)
         self.warm_up, self.cold_start = c.warm_up, c.cold_start
         slots = max(1, min(c.places.values(), default=1))
@@ -120,20 +120,16 @@
         self.streamers: dict[int, Streamer] = {}
         self.viewings: dict[int, Viewing] = {}
         self.waiting: dict[int, Viewing] = {}
-        self.seats: dict[tuple, int] = defaultdict(int)
+        self.seats: Counter[tuple] = Counter()
         # A cell: viewings, seconds played, score summed over those seconds.
         self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
-        self.ranks: dict[tuple, float] = {}
-        self.mean: dict[str, float] = {}
-        self.turn: dict[str, int] = {}
-        self.taken: deque[float] = deque()
-        self.extras: deque[float] = deque()
+        self.ranks, self.mean, self.turn = {}, {}, {}
+        self.taken, self.extras = deque(), deque()
         self.usual, self.probes = 0.0, float(self.can_probe)
-        self.due: list[tuple] = []
-        self.order = 0
+        self.due, self.order = [], 0
         self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
         self.over: set[int] = set()
-        self.answers: deque[tuple] = deque()
+        self.answers: deque[tuple] = deque([("follow",)] if c.must_follow else [])
 
     # What is heard: each call only updates what is known.
 
@@ -146,12 +142,10 @@
             if st is None:
                 if line.standing is Standing.LEFT:
                     continue
-                st = Streamer(line, Pipe(self.per_weight * max(line.weight, 0.01)))
-                self.streamers[line.streamer] = st
+                st = self.streamers[line.streamer] = Streamer(line, Pipe(self.per_weight * line.weight))
             if line.started is not None and line.started > st.started:
                 st.started, st.strikes, st.share = line.started, 0.0, 1.0
-            st.came = now
-            st.line, st.full = line, self.per_weight * max(line.weight, 0.01)
+            st.came, st.line = now, line
         if kind != "changes":
             named = {line.streamer for line in lines}
             for st in self.streamers.values():
@@ -166,8 +160,9 @@
     def asked(self, now: float, ask: Asked) -> None:
         vw = Viewing(ask, self.packages[ask.package], now)
         self.viewings[vw.id] = self.waiting[vw.id] = vw
-        self.taken.append(now)
         self.probes += PROBES
+        if self.extra:
+            self.taken.append(now)
         self.at(min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id)
         self.look = True
 
@@ -194,18 +189,12 @@
         pipe.told(now, 1 / max(share, 0.1), self.late)
         self.over.add(streamer)
 
-    def link_told(self, now: float, streamer: int, viewing: int, ratio: float) -> None:
-        self.streamers[streamer].link.told(now, ratio, self.age(now, viewing))
-        self.over.add(streamer)
-
-    def rack_told(self, now: float, streamer: int, viewing: int, ratio: float) -> None:
-        self.rack(self.streamers[streamer]).told(now, ratio, self.age(now, viewing))
-        self.over.add(streamer)
-
-    def age(self, now: float, viewing: int) -> float:
+    def load_told(self, now: float, streamer: int, uplink: bool, viewing: int, ratio: float) -> None:
+        st, vw = self.streamers[streamer], self.viewings.get(viewing)
         # The word at set-up is about now; later ones come as late as the settings say.
-        vw = self.viewings.get(viewing)
-        return 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
+        late = 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
+        (self.rack(st) if uplink else st.link).told(now, ratio, late)
+        self.over.add(streamer)
 
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
         if load is None:
@@ -244,8 +233,7 @@
                 Ending.FAULTY, Ending.TIMED_OUT, Ending.UNREACHED, Ending.UNKNOWN)):
             self.failed(now, vw, st, how)
         if closed or vw.done:
-            self.viewings.pop(viewing)
-            self.waiting.pop(viewing, None)
+            del self.viewings[viewing]
         else:
             vw.tried.add(streamer)
             if how not in NEVER_RAN:
@@ -257,12 +245,11 @@
         self.look = True
 
     def left(self, now: float, viewing: int) -> None:
-        vw = self.viewings.get(viewing)
-        if vw is not None:
+        if vw := self.viewings.get(viewing):
             vw.done = True
             self.waiting.pop(viewing, None)
             if vw.streamer is None:
-                self.viewings.pop(viewing)
+                del self.viewings[viewing]
 
     def probed(self, now: float, streamer: int, how: Ending, taken: float, load: Load | None) -> None:
         st = self.streamers[streamer]
@@ -271,7 +258,7 @@
             self.strike(now, st, 1, True)
 
     def heard(self, now: float, peer: int, words: bytes) -> None:
-        pass
+        """Controllers tell each other nothing yet: what they ask of links was tried and helped too little."""
 
     def woke(self, now: float) -> None:
         # Rounding can ring a hair before the due time; a spent alarm must not pass for one still set.
@@ -289,7 +276,7 @@
             _, _, what, who = heappop(self.due)
             if what == "follow":
                 self.answers.append(("follow",))
-            elif what == "hold" and who in self.waiting:
+            elif who in self.waiting:
                 self.place(now, self.waiting[who]) or self.give_up(self.waiting[who])
         if now >= self.period:
             self.tick(now)
@@ -301,9 +288,6 @@
             self.look = False
             for vw in list(self.waiting.values()):
                 self.place(now, vw)
-        if self.follow:
-            self.follow = False
-            self.answers.append(("follow",))
         wake = min(self.period, self.due[0][0]) if self.due else self.period
         if not now < self.wake <= wake:
             self.wake = wake
@@ -355,24 +339,22 @@
     def send(self, now: float, vw: Viewing, st: Streamer, rung: int) -> None:
         del self.waiting[vw.id]
         vw.rung, vw.tries, vw.sent, vw.stepped = rung, vw.tries + 1, now, now
-        if vw.tries > 1:
+        if self.extra and vw.tries > 1:
             self.extras.append(now)
         if now - st.started < self.warm_up:
             st.slot = int(now / self.slot)
         self.put(now, vw, st)
-        left = vw.until - now
-        first = FIRST * vw.package.join
-        most = min(first if vw.tries == 1 else max(vw.aim - now, first), left)
-        self.answers.append(("rung", vw.id, rung))
-        self.answers.append(("tune_in", vw.id, st.line.streamer, most))
+        # The first leaves room for a second within the join target; that one may use what is left of it.
+        most = max(FIRST * vw.package.join, vw.aim - now if vw.tries > 1 else 0.0)
+        self.answers += ("rung", vw.id, rung), ("tune_in", vw.id, st.line.streamer, min(most, vw.until - now))
 
     def give_up(self, vw: Viewing) -> None:
         """The final answer, at once: blocked where a return does no harm, aborted where it might."""
         self.waiting.pop(vw.id)
         self.viewings.pop(vw.id)
         p = vw.package
-        marked = p.repeat is Repeat.IN_GROUP and p.group is not Group.ALL
-        harm = vw.ran and (p.repeat is Repeat.HARMFUL or marked)
+        harm = vw.ran and (p.repeat is Repeat.HARMFUL or (
+            p.repeat is Repeat.IN_GROUP and p.group is not Group.ALL))
         self.answers.append(("abort", vw.id) if harm else ("block", vw.id, self.come_back))
 
     def may_repeat(self, now: float) -> bool:
@@ -427,7 +409,7 @@
         for st in self.streamers.values():
             age = now - st.started
             warmth = self.cold_start + (1 - self.cold_start) * max(0.0, age) / self.warm_up
-            st.link.size = st.full * min(1.0, warmth)
+            st.link.size = self.per_weight * st.line.weight * min(1.0, warmth)
             for vw in st.held.values():
                 if vw.playing:
                     cell = self.table[vw.package.name, st.line.streamer]
@@ -435,6 +417,8 @@
                     cell[2] += PERIOD * (vw.package.rates[vw.rung] * 8 * st.share / 20 - 370 * (1 - st.share))
         if now >= self.refresh:
             self.refresh = now + RANKS
+            for key in [key for key, cell in self.table.items() if cell[0] + cell[1] < 0.01]:
+                del self.table[key]
             self.ranks = {key: cell[2] / cell[1] for key, cell in self.table.items() if cell[1] > 0}
             for name in self.packages:
                 row = [score for (package, _), score in self.ranks.items() if package == name]
@@ -466,15 +450,14 @@
 
     def cut(self, now: float, st: Streamer) -> None:
         """Step down this controller's own part of what is asked too much, cheapest steps first."""
-        for pipe, held in ((st.link, list(st.held.values())), (self.rack(st), None)):
+        for pipe in (st.link, self.rack(st)):
             use = pipe.use(now, self.usual)
             # Words about the time before the last cut would cut twice for one shortage.
             if use <= OVER or now - pipe.eased < self.late + SETTLE:
                 continue
             pipe.eased = now
-            if held is None:
-                held = [vw for other in self.streamers.values() if self.rack(other) is pipe
-                        for vw in other.held.values()]
+            held = [vw for other in self.streamers.values() if pipe in (other.link, self.rack(other))
+                    for vw in other.held.values()]
             # Each step costs the viewer: all that one viewing gives up goes in a single step.
             goal, stepped = pipe.own * MARK / use, {}
             while pipe.own > goal:
