--- a/herongap/benchlink/codec.py
+++ b/herongap/benchlink/codec.py
@@ -30,6 +30,7 @@
     return Charter(
         me=int(conf["Me"]),
         controllers=int(conf["FleetSize"]),
+        over_share=float(conf.get("OverShareWorth", 1)),
         packages=tuple(package(g, info, i) for i, g in enumerate(conf["Grades"])),
         ladder=tuple(map(float, info["LadderKb"])),
         worths=tuple(map(float, info["LevelWorth"])),
--- a/herongap/interface.py
+++ b/herongap/interface.py
@@ -83,6 +83,7 @@
 
     me: int
     controllers: int
+    over_share: float
     packages: tuple[Package, ...]
     ladder: tuple[float, ...]
     worths: tuple[float, ...]
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -9,9 +9,11 @@
  3. further tune-ins: a time-out leaves room for a second one, within the budget and the package's terms
  4. cuts and raises: playing viewings step down where a link is over-asked, and up slowly where there is room
  5. word of others: notes and reports correct the link estimate, and fade to what others usually ask
+ 6. floods: a member asking far beyond its usual rate gets floor rungs, on spare room only
 """
 from collections import Counter, defaultdict, deque
 from heapq import heappop, heappush
+from math import exp
 from statistics import median
 from zlib import crc32
 
@@ -38,6 +40,8 @@
 FADE = 8.0              # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
 PROBES = 2.0            # probes for each viewing taken, where streamers tell their load only so
+FLOOD, LEAST = 4.0, 5.0  # a member floods at so many times its usual rate and so many viewings a second more
+FLOOD_MARK = 0.5        # part of links and of places that a flood may fill
 FORGET = 120.0          # seconds after which a streamer that left is forgotten
 COME_BACK = 0.5         # when a blocked viewer is told to come again, where it can be told
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.NOT_SENT)
@@ -83,7 +87,7 @@
         self.until, self.aim = now + ask.left, now + min(package.join, ask.left)
         self.top, self.rung, self.stepped = min(ask.top, package.top), package.floor, now
         self.streamer: Streamer | None = None
-        self.playing = self.done = False
+        self.playing = self.done = self.flood = False
         self.tries, self.sent, self.tried, self.ran = 0, now, set(), []
 
 
@@ -125,6 +129,7 @@
         self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.ranks, self.mean, self.turn = {}, {}, {}
         self.taken, self.extras = deque(), deque()
+        self.begun, self.shares, self.rates = now, c.over_share < 0.5, {}
         self.usual, self.probes = 0.0, float(self.can_probe)
         self.due, self.order = [], 0
         self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
@@ -161,11 +166,21 @@
         vw = Viewing(ask, self.packages[ask.package], now)
         self.viewings[vw.id] = self.waiting[vw.id] = vw
         self.probes += PROBES
+        vw.flood = self.shares and ask.member is not None and self.floods(now, ask.member)
         if self.extra:
             self.taken.append(now)
         self.at(min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id)
         self.look = True
 
+    def floods(self, now: float, member: str) -> bool:
+        # What a member asks beyond its share is worth little and must not take the others' places. Its share
+        # is told too roughly to count by, and only a part of it is seen: so against its own usual rate.
+        rate, usual, at = self.rates.get(member, (0.0, 0.0, now))
+        rate = rate * exp((at - now) / 2) + 0.5
+        flood = now - self.begun > 5 and rate > FLOOD * usual + LEAST
+        self.rates[member] = rate, usual if flood else rate + (usual - rate) * exp((at - now) / 20), now
+        return flood
+
     def handed(self, now: float, ask: Asked, streamer: int) -> None:
         vw = self.viewings[ask.viewing] = Viewing(ask, self.packages[ask.package], now)
         self.put(now, vw, self.streamers[streamer])
@@ -197,8 +212,7 @@
         self.over.add(streamer)
 
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
-        if load is None:
-            return
+        load = load or Load()
         ratio = load.link
         if ratio is None and load.link_capped is not None:
             # A capped figure hides how much more is asked; the share that is delivered shows it.
@@ -296,12 +310,10 @@
     def place(self, now: float, vw: Viewing) -> bool:
         """Send a waiting viewing to the best holder with room, or say that there is none."""
         p, cells = vw.package, {(vw.ask.home + i) % self.cells for i in range(vw.ask.holders)}
-        if vw.top < p.floor or vw.tries >= self.tune_ins or vw.until - now < 0.05:
-            self.give_up(vw)
-            return True
         holders = [st for st in self.streamers.values() if st.line.cell in cells
                    and st.line.streamer not in vw.tried and self.repeats_at(now, vw, st)]
-        if vw.tries and not holders:
+        spent = vw.tries >= self.tune_ins or (vw.tries and not holders)
+        if spent or vw.top < p.floor or vw.until - now < 0.05:
             # Waiting would not help: the viewer is better off coming again.
             self.give_up(vw)
             return True
@@ -310,17 +322,19 @@
             return False
         ready = [st for st in holders if st.line.standing is Standing.ACTIVE and st.back <= now
                  and self.paced(now, st) and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
-        for rung in range(vw.top, p.floor - 1, -1):
+        if vw.flood:
+            ready = [st for st in ready if self.use(now, st, p.rates[p.floor]) <= FLOOD_MARK
+                     and len(st.held) < FLOOD_MARK * self.places.get(st.line.kind, 1) / self.controllers]
+        for rung in range(p.floor if vw.flood else vw.top, p.floor - 1, -1):
             more = p.rates[rung] * (self.ahead if rung > p.floor else 1)
             room = [st for st in ready if self.use(now, st, more) <= MARK]
             if room:
                 self.send(now, vw, self.pick(now, vw, room), rung)
                 return True
         roomy = min(ready, key=lambda st: self.use(now, st), default=None)
-        if roomy is None or self.use(now, roomy, p.rates[p.floor]) > 1:
-            return False
-        self.send(now, vw, roomy, p.floor)
-        return True
+        if fits := roomy is not None and self.use(now, roomy, p.rates[p.floor]) <= 1:
+            self.send(now, vw, roomy, p.floor)
+        return fits
 
     def pick(self, now: float, vw: Viewing, room: list[Streamer]) -> Streamer:
         """The best cell, ties to the least used; round robin for thin cells and a share of all set-ups."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,6 +10,7 @@
     base = dict(
         me=0,
         controllers=2,
+        over_share=1.0,
         packages=(NEWS,),
         ladder=(100.0, 300.0, 900.0),
         worths=(0.3, 0.6, 1.0),
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -90,3 +90,14 @@
     c.listed(10.0, "whole", ())
     c.listed(500.0, "whole", ())
     assert not (c.streamers or c.viewings or c.waiting or c.seats)
+
+
+def test_a_member_that_floods_leaves_places_to_the_others():
+    c, sent = controller(charter(over_share=0.1)), []
+    for i in range(200):
+        now = 2.0 * i if i < 10 else 20 + i / 1000
+        c.asked(now, ask(i, top=0, title=i)._replace(member="calm" if i < 10 else "wild"))
+        sent += [d[1] for d in pull(c, now) if d[0] == "tune_in"]
+    assert 10 < len(sent) < 35
+    c.asked(20.3, ask(999, top=0)._replace(member="calm"))
+    assert any(d[0] == "tune_in" for d in pull(c, 20.3))
