--- a/herongap/benchlink/link.py
+++ b/herongap/benchlink/link.py
@@ -88,6 +88,8 @@
         if name == "List":
             self.lists[f["RosterId"]] = tuple(map(codec.listed, f["Elements"]))
             return None
+        if name not in READERS and name not in ("Spawn", "Retire", "PeersKnown"):
+            raise ValueError(f"unknown message {name!r}")
         who = f["I"]
         if name == "Spawn":
             return ("__init__", f["Seed"], codec.charter(f["Conf"]))
@@ -98,8 +100,6 @@
         if name == "PeersKnown":
             kind = KINDS[f["How"]]
             return ("listed", kind, self.lists[f["RosterId"]] if kind != "failed" else ())
-        if name not in READERS:
-            raise ValueError(f"unknown message {name!r}")
         return READERS[name](f)
 
     def tell(self, who: str, name: str, call, touched: dict, replies: list[str]) -> None:
