--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -33,8 +33,7 @@
 DWELL = 12.0            # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
 SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
-STRIKES = 2.0           # failures that set a streamer aside
-AWAY, AWAY_MORE = 4.0, 2.0  # for how long, and the random part
+AWAY = 4.0              # how long a failing streamer is set aside, and half as much more by chance
 HOLD = 0.4              # part of the join target that a viewing without room is held
 FIRST = 0.45            # part of the join target that a first tune-in may take
 FADE = 8.0              # seconds in which word of others' use fades
@@ -75,7 +74,7 @@
 
     def __init__(self, line: Listed, link: Pipe):
         self.line, self.link = line, link
-        self.share, self.strikes, self.back, self.started, self.slot = 1.0, 0.0, -1e9, -1e9, -1
+        self.share, self.back, self.started, self.slot = 1.0, -1e9, -1e9, -1
         self.asked, self.came, self.held, self.shown = -1e9, -1e9, {}, Counter()
 
 
@@ -149,7 +148,7 @@
                     continue
                 st = self.streamers[line.streamer] = Streamer(line, Pipe(self.per_weight * line.weight))
             if line.started is not None and line.started > st.started:
-                st.started, st.strikes, st.share = line.started, 0.0, 1.0
+                st.started, st.share = line.started, 1.0
             st.came, st.line = now, line
         if kind != "changes":
             named = {line.streamer for line in lines}
@@ -197,7 +196,7 @@
         st.share = min(1.0, share)
         if share < SILENT:
             # No shortage but a streamer gone silent or cut off: taken as load, it made every link look full.
-            self.strike(now, st, STRIKES, True)
+            self.set_aside(now, st, True)
             return
         # Either the link or the rack's uplink is short: the fuller by estimate.
         pipe = max(st.link, self.rack(st), key=lambda pipe: pipe.use(now, self.usual))
@@ -224,9 +223,7 @@
         self.over.add(st.line.streamer)
 
     def started(self, now: float, viewing: int, number: int, streamer: int, taken: float) -> None:
-        vw, st = self.viewings.get(viewing), self.streamers[streamer]
-        st.strikes = 0.0
-        if vw is not None:
+        if vw := self.viewings.get(viewing):
             vw.playing, vw.stepped = True, now
             self.table[vw.package.name, streamer][0] += 1
 
@@ -269,7 +266,7 @@
         st = self.streamers[streamer]
         self.loaded(now, st, load)
         if how is not Ending.PLAYED:
-            self.strike(now, st, 1, True)
+            self.set_aside(now, st, True)
 
     def heard(self, now: float, peer: int, words: bytes) -> None:
         """Controllers tell each other nothing yet: what they ask of links was tried and helped too little."""
@@ -403,13 +400,12 @@
         cell = self.table[vw.package.name, st.line.streamer]
         cell[1] += FAIL_SECONDS
         cell[2] -= FAIL_SECONDS * 370
-        self.strike(now, st, 2 if vw.playing or how is Ending.UNREACHED else 1, how is not Ending.FAULTY)
+        self.set_aside(now, st, how is not Ending.FAULTY)
 
-    def strike(self, now: float, st: Streamer, count: int, lost: bool) -> None:
-        st.strikes += count
-        if st.strikes >= STRIKES and now >= st.back:
-            st.back = now + AWAY + AWAY_MORE * self.chance()
-            st.strikes = STRIKES - 1
+    def set_aside(self, now: float, st: Streamer, lost: bool) -> None:
+        # One failure is enough: sound streamers hardly ever fail, and those that do seldom stop at one.
+        if now >= st.back:
+            st.back = now + AWAY * (1 + self.chance() / 2)
             if lost:
                 # It may come back cold before the list says so.
                 st.started = max(st.started, st.back)
