Ties and the start of each round fall by chance, so controllers stop herding

Cause: every controller began its round robin, broke ties in use and chose what to probe in the same order of ids. The round itself still runs over sorted ids, as the design says; only its start is each controller's own.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -328,7 +328,7 @@
             if room:
                 self.send(now, vw, self.pick(now, vw, room), rung)
                 return True
-        roomy = min(ready, key=lambda st: self.use(now, st), default=None)
+        roomy = min(ready, key=lambda st: (self.use(now, st), self.chance()), default=None)
         if fits := roomy is not None and self.use(now, roomy, p.rates[p.floor]) <= 1:
             self.send(now, vw, roomy, p.floor)
         return fits
@@ -339,10 +339,11 @@
         score = {st: self.ranks.get((name, st.line.streamer), self.mean.get(name, 0.0)) for st in room}
         best = max(score.values())
         tied = [st for st in room if score[st] >= best - TIE * abs(best)]
-        st = min(tied, key=lambda st: (self.use(now, st), st.line.streamer))
+        st = min(tied, key=lambda st: (self.use(now, st), self.chance()))
         if self.table[name, st.line.streamer][0] < THIN or self.chance() < SEED:
             room.sort(key=lambda st: st.line.streamer)
-            last = self.turn.get(name, -1)
+            # Each starts its round elsewhere: with few viewings each, all would seed the same lowest ids.
+            last = self.turn.get(name, room[int(self.chance() * len(room))].line.streamer)
             st = next((st for st in room if st.line.streamer > last), room[0])
             self.turn[name] = st.line.streamer
         return st
@@ -444,7 +445,7 @@
                 self.raise_one(now, st)
         if self.can_probe:
             self.probes = min(self.probes, float(len(live)))
-            for st in sorted(live, key=lambda st: max(st.link.heard, st.asked))[:int(self.probes)]:
+            for st in sorted(live, key=lambda st: (max(st.link.heard, st.asked), self.chance()))[:int(self.probes)]:
                 if st.back <= now:
                     st.asked, self.probes = now, self.probes - 1
                     self.answers.append(("probe", st.line.streamer))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,9 +40,9 @@
     return Listed(i, "a", "std", cell, standing, 1.0, started)
 
 
-def controller(terms: Charter | None = None, now: float = 0.0) -> Controller:
+def controller(terms: Charter | None = None, now: float = 0.0, seed: int = 7) -> Controller:
     terms = terms or charter()
-    c = Controller(now, 7, terms)
+    c = Controller(now, seed, terms)
     c.listed(now, "remembered", tuple(streamer(10 + i, i) for i in range(terms.cells)))
     return c
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -34,6 +34,15 @@
     assert sorted(sent) == [10, 11, 12]
 
 
+def test_controllers_with_one_viewing_each_do_not_all_start_at_one_streamer():
+    sent = set()
+    for seed in range(12):
+        c = controller(charter(controllers=12), seed=seed)
+        c.asked(0.0, ask(1, top=0))
+        sent |= {d[2] for d in pull(c, 0.0) if d[0] == "tune_in"}
+    assert sent == {10, 11, 12}
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
