Room left ahead levels off at three times a rung however many controllers there are

Cause: the room grew by half a rung for each controller, so that at 200 a rung above the floor had to fit a hundred times and every set-up got the floor. What matters is what others send to one streamer before it is heard of, and that goes by the viewings there.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -25,7 +25,7 @@
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 TIE = 0.10              # scores this close to the best tie
 MARK = 0.95             # part of a link or uplink that set-ups may fill
-AHEAD = 0.5             # a rung above the floor must fit so many times more for each controller
+AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
 OVER = 1.1              # use above which playing viewings are cut
 RAISE = 0.7             # use under which they may be raised
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
@@ -113,8 +113,9 @@
         self.cells, self.per_weight, self.places = c.cells, c.link_per_weight, c.places
         self.racks = [Pipe(c.rack_link) for _ in range(max(1, c.racks))]
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
-        # All controllers see the same room at the same time: the more there are, the more must be left.
-        self.ahead = 1 + AHEAD * c.controllers
+        # Others see the same room at the same time. What they send to one streamer before it is heard of goes by
+        # the viewings there, not by how many controllers share them: at hundreds only the floor would fit.
+        self.ahead = 1 + AHEAD * (1 - 1 / max(1, c.controllers))
         self.can_probe, self.come_back = c.probes, min(c.come_back, COME_BACK)
         self.extra = c.extra_free is not None and (c.extra_free, c.extra_share, c.extra_window)
         self.warm_up, self.cold_start = c.warm_up, c.cold_start
@@ -445,7 +446,8 @@
                 self.raise_one(now, st)
         if self.can_probe:
             self.probes = min(self.probes, float(len(live)))
-            for st in sorted(live, key=lambda st: (max(st.link.heard, st.asked), self.chance()))[:int(self.probes)]:
+            live.sort(key=lambda st: (max(st.link.heard, st.asked), self.chance()))
+            for st in live[:int(self.probes)]:
                 if st.back <= now:
                     st.asked, self.probes = now, self.probes - 1
                     self.answers.append(("probe", st.line.streamer))
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -43,6 +43,12 @@
     assert sent == {10, 11, 12}
 
 
+def test_a_viewing_gets_a_high_rung_however_many_controllers_there_are():
+    c = controller(charter(controllers=300))
+    c.asked(0.0, ask(1, top=2))
+    assert ("rung", 1, 2) in pull(c, 0.0)
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
