--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -113,8 +113,8 @@
         self.cells, self.per_weight, self.places = c.cells, c.link_per_weight, c.places
         self.racks = [Pipe(c.rack_link) for _ in range(max(1, c.racks))]
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
-        # Others see the same room at the same time. What they send to one streamer before it is heard of goes by
-        # the viewings there, not by how many controllers share them: at hundreds only the floor would fit.
+        # Others see the same room at the same time. What they send to one streamer before it is heard of
+        # goes by the viewings there, not by how many controllers share them.
         self.ahead = 1 + AHEAD * (1 - 1 / max(1, c.controllers))
         self.can_probe, self.come_back = c.probes, min(c.come_back, COME_BACK)
         self.extra = c.extra_free is not None and (c.extra_free, c.extra_share, c.extra_window)
