Cuts are rounded by chance, and begin at 1.04 of a link

A step greater than what is due is now taken with the chance that makes the sum right. It may leave a shortage standing until the next word when chance falls short.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -26,7 +26,7 @@
 TIE = 0.10              # scores this close to the best tie
 MARK = 0.95             # part of a link or uplink that set-ups may fill
 AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
-OVER = 1.1              # use above which playing viewings are cut
+OVER = 1.04             # use above which playing viewings are cut
 RAISE = 0.7             # use under which they may be raised
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
 TAKEN_OVER = 2.0        # a viewing handed over may be raised so soon
@@ -38,7 +38,6 @@
 FIRST = 0.45            # part of the join target that a first tune-in may take
 FADE = 8.0              # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
-PROBES = 1.0            # probes for each viewing taken, where streamers tell their load only so
 FLOOD, LEAST = 4.0, 5.0  # a member floods at so many times its usual rate and so many viewings a second more
 FLOOD_MARK = 0.5        # part of links and of places that a flood may fill
 FORGET = 120.0          # seconds after which a streamer that left is forgotten
@@ -72,8 +71,8 @@
 class Streamer:
     """What is known of one streamer."""
 
-    def __init__(self, line: Listed, link: Pipe):
-        self.line, self.link = line, link
+    def __init__(self, line: Listed, link: Pipe, rack: Pipe):
+        self.line, self.link, self.rack = line, link, rack
         self.share, self.back, self.started, self.slot = 1.0, -1e9, -1e9, -1
         self.asked, self.came, self.held, self.shown = -1e9, -1e9, {}, Counter()
 
@@ -147,7 +146,8 @@
             if st is None:
                 if line.standing is Standing.LEFT:
                     continue
-                st = self.streamers[line.streamer] = Streamer(line, Pipe(self.per_weight * line.weight))
+                rack = self.racks[line.cell % len(self.racks)]
+                st = self.streamers[line.streamer] = Streamer(line, Pipe(self.per_weight * line.weight), rack)
             if line.started is not None and line.started > st.started:
                 st.started, st.share = line.started, 1.0
             st.came, st.line = now, line
@@ -165,7 +165,7 @@
     def asked(self, now: float, ask: Asked) -> None:
         vw = Viewing(ask, self.packages[ask.package], now)
         self.viewings[vw.id] = self.waiting[vw.id] = vw
-        self.probes += PROBES
+        self.probes += 1
         vw.flood = self.shares and ask.member is not None and self.floods(now, ask.member)
         if self.extra:
             self.taken.append(now)
@@ -200,7 +200,7 @@
             self.set_aside(now, st, True)
             return
         # Either the link or the rack's uplink is short: the fuller by estimate.
-        pipe = max(st.link, self.rack(st), key=lambda pipe: pipe.use(now, self.usual))
+        pipe = max(st.link, st.rack, key=lambda pipe: pipe.use(now, self.usual))
         pipe.told(now, 1 / max(share, 0.1), self.late)
         self.over.add(streamer)
 
@@ -208,7 +208,7 @@
         st, vw = self.streamers[streamer], self.viewings.get(viewing)
         # The word at set-up is about now; later ones come as late as the settings say.
         late = 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
-        (self.rack(st) if uplink else st.link).told(now, ratio, late)
+        (st.rack if uplink else st.link).told(now, ratio, late)
         self.over.add(streamer)
 
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
@@ -220,7 +220,7 @@
         if ratio is not None:
             st.link.told(now, ratio, 0.3)
         if load.rack is not None:
-            self.rack(st).told(now, load.rack, 0.3)
+            st.rack.told(now, load.rack, 0.3)
         self.over.add(st.line.streamer)
 
     def started(self, now: float, viewing: int, number: int, streamer: int, taken: float) -> None:
@@ -463,21 +463,25 @@
 
     def cut(self, now: float, st: Streamer) -> None:
         """Step down this controller's own part of what is asked too much, cheapest steps first."""
-        for pipe in (st.link, self.rack(st)):
+        for pipe in (st.link, st.rack):
             use = pipe.use(now, self.usual)
             # Words about the time before the last cut would cut twice for one shortage.
             if use <= OVER or now - pipe.eased < self.late + SETTLE:
                 continue
             pipe.eased = now
-            held = [vw for other in self.streamers.values() if pipe in (other.link, self.rack(other))
-                    for vw in other.held.values()]
+            held = [vw for vw in self.viewings.values()
+                    if vw.playing and vw.streamer and pipe in (vw.streamer.link, vw.streamer.rack)]
             # Each step costs the viewer: all that one viewing gives up goes in a single step.
             goal, stepped = pipe.own * MARK / use, {}
             while pipe.own > goal:
-                down = [vw for vw in held if vw.playing and vw.rung > vw.package.floor]
+                down = [vw for vw in held if vw.rung > vw.package.floor]
                 if not down:
                     break
                 vw = min(down, key=lambda vw: vw.package.gain[vw.rung])
+                # By chance if greater than due: single viewings of many controllers must not all step.
+                rates = vw.package.rates
+                if self.chance() * (rates[vw.rung] - rates[vw.rung - 1]) > pipe.own - goal:
+                    break
                 self.set_rung(now, vw, vw.rung - 1)
                 stepped[vw.id] = vw
             for vw in stepped.values():
@@ -520,13 +524,10 @@
         if not st.shown[key]:
             del st.shown[key]
         st.link.add(now, kb)
-        self.rack(st).add(now, kb)
+        st.rack.add(now, kb)
 
     def use(self, now: float, st: Streamer, more: float = 0.0) -> float:
-        return max(st.link.use(now, self.usual, more), self.rack(st).use(now, self.usual, more))
-
-    def rack(self, st: Streamer) -> Pipe:
-        return self.racks[st.line.cell % len(self.racks)]
+        return max(st.link.use(now, self.usual, more), st.rack.use(now, self.usual, more))
 
     def at(self, when: float, what: str, who: int) -> None:
         self.order += 1
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -50,6 +50,18 @@
     assert ("rung", 1, 2) in pull(c, 0.0)
 
 
+def test_single_viewings_of_many_controllers_do_not_all_step_down_on_one_word():
+    stepped = 0
+    for seed in random.Random(2).sample(range(1 << 32), 60):
+        c = controller(charter(controllers=200), seed=seed)
+        c.handed(0.0, ask(1), 10)
+        c.rung_told(0.0, 1, 2)
+        pull(c, 0.0)
+        c.load_told(5.0, 10, False, 1, 1.2)
+        stepped += any(d[0] == "rung" for d in pull(c, 5.0))
+    assert 5 < stepped < 45
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
