Raises wait for word, come at once at set-up, and by chance where others hear it too

Cause: all controllers with a viewing on a streamer hear the same word at the same moment, and each raised into the whole room alone; and a viewing set up on little word waited 12 s although the word at its set-up tells the room exactly. One viewing a streamer now rises on a word, to the highest rung that fits if all others there rose as much, else one rung by chance; on the word at set-up at once. It may leave room unused where a controller holds most viewings of a streamer and the rest don't rise.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -207,8 +207,9 @@
     def load_told(self, now: float, streamer: int, uplink: bool, viewing: int, ratio: float) -> None:
         st, vw = self.streamers[streamer], self.viewings.get(viewing)
         # The word at set-up is about now; later ones come as late as the settings say.
-        late = 0.0 if vw is None or now - vw.stepped < 0.1 else self.late
-        (st.rack if uplink else st.link).told(now, ratio, late)
+        if first := vw is not None and now - vw.stepped < 0.1:
+            vw.stepped = now - DWELL  # its rung was chosen on little word: it may be raised on this one
+        (st.rack if uplink else st.link).told(now, ratio, 0.0 if first else self.late)
         self.over.add(streamer)
 
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
@@ -295,6 +296,7 @@
             self.look = True
         for streamer in self.over:
             self.cut(now, self.streamers[streamer])
+            self.raise_one(now, self.streamers[streamer])
         self.over.clear()
         if self.look:
             self.look = False
@@ -441,9 +443,6 @@
         own = sum(st.link.own for st in live) / total
         # The median: one failing streamer's word must not make every other link look full.
         self.usual = max(0.0, median(fresh) if fresh else own * (self.controllers - 1))
-        for st in live:
-            if st.held:
-                self.raise_one(now, st)
         if self.can_probe:
             self.probes = min(self.probes, float(len(live)))
             live.sort(key=lambda st: (max(st.link.heard, st.asked), self.chance()))
@@ -454,10 +453,13 @@
 
     def raise_one(self, now: float, st: Streamer) -> None:
         up = [vw for vw in st.held.values() if vw.playing and vw.rung < vw.top and now - vw.stepped >= DWELL]
-        for vw in sorted(up, key=lambda vw: -vw.package.gain[vw.rung + 1]):
-            rates = vw.package.rates
+        for vw in sorted(up, key=lambda vw: -vw.package.gain[vw.rung + 1])[:1]:
+            # All others here hear the same word at the same time, and may all raise on it.
+            rates, use, own = vw.package.rates, self.use(now, st), st.link.own / st.link.size
             for rung in range(vw.top, vw.rung, -1):
-                if self.use(now, st, rates[rung] - rates[vw.rung]) <= RAISE:
+                more = (rates[rung] - rates[vw.rung]) / st.link.size
+                part = (RAISE - use) / (more + max(0.0, use - own) * (rates[rung] / rates[vw.rung] - 1))
+                if use + more <= RAISE and (part >= 1 or (rung == vw.rung + 1 and self.chance() < part)):
                     self.step(now, vw, rung)
                     return
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -62,6 +62,20 @@
     assert 5 < stepped < 45
 
 
+def test_a_viewing_is_raised_on_the_word_at_its_set_up_and_by_chance_where_others_hear_it_too():
+    raised = {0.1: 0, 0.5: 0}
+    for seed in random.Random(3).sample(range(1 << 32), 60):
+        for asked in raised:
+            c = controller(charter(controllers=200), seed=seed)
+            c.asked(0.0, ask(1))
+            st = next(d[2] for d in pull(c, 0.0) if d[0] == "tune_in")
+            c.started(0.1, 1, 0, st, 0.1)
+            c.rung_told(0.1, 1, 0)
+            c.load_told(0.1, st, False, 1, asked)
+            raised[asked] += any(d[0] == "rung" for d in pull(c, 0.1))
+    assert raised[0.1] == 60 and 5 < raised[0.5] < 50
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
