Probe one holder before each set-up, a second if none has room, instead of on the timer

Cause: probes went round all streamers, one a viewing; with 100 streamers and 200 controllers their word was old and elsewhere when a set-up came. Seats are now counted from the viewings held, due times go straight into the heap, ranks are kept a row each: shorter.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -8,7 +8,8 @@
  2. cold pace: a streamer that may have just started gets set-ups in this controller's own time slots
  3. further tune-ins: a time-out leaves room for a second one, within the budget and the package's terms
  4. cuts and raises: playing viewings step down where a link is over-asked, and up slowly where there is room
- 5. word of others: notes and reports correct the link estimate, and fade to what others usually ask
+ 5. word of others: notes, reports and a probe before a set-up correct the link estimate, and fade to what
+    others usually ask
  6. floods: a member asking far beyond its usual rate gets floor rungs, on spare room only
 """
 from collections import Counter, defaultdict, deque
@@ -29,10 +30,10 @@
 OVER = 1.04             # use above which playing viewings are cut
 RAISE = 0.7             # use under which they may be raised
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
-TAKEN_OVER = 2.0        # a viewing handed over may be raised so soon
-DWELL = 12.0            # a viewing is not raised sooner after its last step
+DWELL, TAKEN_OVER = 12.0, 2.0  # a viewing is not raised sooner after its last step, or after its handover
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
 SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
+PROBES = 2              # probes at most before a set-up, where streamers tell their load only so
 AWAY = 4.0              # how long a failing streamer is set aside, and half as much more by chance
 HOLD = 0.4              # part of the join target that a viewing without room is held
 FIRST = 0.45            # part of the join target that a first tune-in may take
@@ -74,7 +75,7 @@
     def __init__(self, line: Listed, link: Pipe, rack: Pipe):
         self.line, self.link, self.rack = line, link, rack
         self.share, self.back, self.started, self.slot = 1.0, -1e9, -1e9, -1
-        self.asked, self.came, self.held, self.shown = -1e9, -1e9, {}, Counter()
+        self.came, self.held, self.shown = -1e9, {}, Counter()
 
 
 class Viewing:
@@ -87,6 +88,7 @@
         self.streamer: Streamer | None = None
         self.playing = self.done = self.flood = False
         self.tries, self.sent, self.tried, self.ran = 0, now, set(), []
+        self.probed, self.waits = 0, None
 
 
 class Terms:
@@ -123,23 +125,22 @@
         self.streamers: dict[int, Streamer] = {}
         self.viewings: dict[int, Viewing] = {}
         self.waiting: dict[int, Viewing] = {}
-        self.seats: Counter[tuple] = Counter()
         # A cell: viewings, seconds played, score summed over those seconds.
         self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
-        self.ranks, self.mean, self.turn = {}, {}, {}
+        self.ranks, self.turn = {}, {}
         self.taken, self.extras = deque(), deque()
         self.begun, self.shares, self.rates = now, c.over_share < 0.5, {}
-        self.usual, self.probes = 0.0, float(self.can_probe)
-        self.due, self.order = [], 0
+        self.usual = 0.0
+        self.due: list[tuple] = []
         self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
-        self.over: set[int] = set()
+        self.over, self.probing = set(), set()
         self.answers: deque[tuple] = deque([("follow",)] if c.must_follow else [])
 
     # What is heard: each call only updates what is known.
 
     def listed(self, now: float, kind: str, lines: tuple[Listed, ...]) -> None:
         if kind == "failed":
-            self.at(now + 0.5 + self.chance(), "follow", 0)
+            heappush(self.due, (now + 0.5 + self.chance(), "follow", 0))
             return
         for line in lines:
             st = self.streamers.get(line.streamer)
@@ -165,11 +166,10 @@
     def asked(self, now: float, ask: Asked) -> None:
         vw = Viewing(ask, self.packages[ask.package], now)
         self.viewings[vw.id] = self.waiting[vw.id] = vw
-        self.probes += 1
         vw.flood = self.shares and ask.member is not None and self.floods(now, ask.member)
         if self.extra:
             self.taken.append(now)
-        self.at(min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id)
+        heappush(self.due, (min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id))
         self.look = True
 
     def floods(self, now: float, member: str) -> bool:
@@ -189,7 +189,7 @@
         self.table[vw.package.name, streamer][0] += 1
 
     def rung_told(self, now: float, viewing: int, rung: float) -> None:
-        if vw := self.viewings.get(viewing):
+        if (vw := self.viewings.get(viewing)) and vw.streamer is not None:
             self.set_rung(now, vw, int(rung))
 
     def share_told(self, now: float, streamer: int, share: float) -> None:
@@ -254,7 +254,7 @@
             if how is Ending.NOT_SENT:
                 vw.tries = self.tune_ins
             self.waiting[viewing] = vw
-            self.at(min(max(now + 0.05, vw.aim), vw.until - 0.05), "hold", viewing)
+            heappush(self.due, (min(max(now + 0.05, vw.aim), vw.until - 0.05), "hold", viewing))
         self.look = True
 
     def left(self, now: float, viewing: int) -> None:
@@ -269,6 +269,8 @@
         self.loaded(now, st, load)
         if how is not Ending.PLAYED:
             self.set_aside(now, st, True)
+        self.probing.discard(streamer)
+        self.look = True
 
     def heard(self, now: float, peer: int, words: bytes) -> None:
         """Controllers tell each other nothing yet: what they ask of links was tried and helped too little."""
@@ -286,7 +288,7 @@
 
     def think(self, now: float) -> None:
         while self.due and self.due[0][0] <= now:
-            _, _, what, who = heappop(self.due)
+            _, what, who = heappop(self.due)
             if what == "follow":
                 self.answers.append(("follow",))
             elif who in self.waiting:
@@ -317,7 +319,11 @@
             # Waiting would not help: the viewer is better off coming again.
             self.give_up(vw)
             return True
-        seated = p.seats and self.seats[vw.ask.title, p.name] >= p.seats
+        if vw.waits in self.probing:
+            return False
+        seated = p.seats and p.seats <= sum(
+            held.streamer is not None and held.package is p and held.ask.title == vw.ask.title
+            for held in self.viewings.values())
         if seated or (vw.tries and not self.may_repeat(now)):
             return False
         ready = [st for st in holders if st.line.standing is Standing.ACTIVE and st.back <= now
@@ -325,6 +331,8 @@
         if vw.flood:
             ready = [st for st in ready if self.use(now, st, p.rates[p.floor]) <= FLOOD_MARK
                      and len(st.held) < FLOOD_MARK * self.places.get(st.line.kind, 1) / self.controllers]
+        if not vw.probed and self.inquire(now, vw, ready):
+            return False
         for rung in range(p.floor if vw.flood else vw.top, p.floor - 1, -1):
             more = p.rates[rung] * (self.ahead if rung > p.floor else 1)
             room = [st for st in ready if self.use(now, st, more) <= MARK]
@@ -334,12 +342,26 @@
         roomy = min(ready, key=lambda st: (self.use(now, st), self.chance()), default=None)
         if fits := roomy is not None and self.use(now, roomy, p.rates[p.floor]) <= 1:
             self.send(now, vw, roomy, p.floor)
+        else:
+            self.inquire(now, vw, ready)
         return fits
 
+    def inquire(self, now: float, vw: Viewing, ready: list[Streamer]) -> bool:
+        """Probe a holder not lately heard of: a controller with few viewings knows next to nothing."""
+        unheard = self.can_probe and [st for st in ready if now - st.link.heard > 1]
+        if not unheard or vw.probed >= PROBES:
+            return False
+        vw.waits, vw.probed = unheard[int(self.chance() * len(unheard))].line.streamer, vw.probed + 1
+        self.probing.add(vw.waits)
+        self.answers.append(("probe", vw.waits))
+        return True
+
     def pick(self, now: float, vw: Viewing, room: list[Streamer]) -> Streamer:
         """The best cell, ties to the least used; round robin for thin cells and a share of all set-ups."""
         name = vw.package.name
-        score = {st: self.ranks.get((name, st.line.streamer), self.mean.get(name, 0.0)) for st in room}
+        row = self.ranks.get(name) or {0: 0.0}
+        mean = sum(row.values()) / len(row)
+        score = {st: row.get(st.line.streamer, mean) for st in room}
         best = max(score.values())
         tied = [st for st in room if score[st] >= best - TIE * abs(best)]
         st = min(tied, key=lambda st: (self.use(now, st), self.chance()))
@@ -421,8 +443,7 @@
         for cell in self.table.values():
             cell[:] = cell[0] * fade, cell[1] * fade, cell[2] * fade
         for st in self.streamers.values():
-            age = now - st.started
-            warmth = self.cold_start + (1 - self.cold_start) * max(0.0, age) / self.warm_up
+            warmth = self.cold_start + (1 - self.cold_start) * max(0.0, now - st.started) / self.warm_up
             st.link.size = self.per_weight * st.line.weight * min(1.0, warmth)
             for vw in st.held.values():
                 if vw.playing:
@@ -433,23 +454,13 @@
             self.refresh = now + RANKS
             for key in [key for key, cell in self.table.items() if cell[0] + cell[1] < 0.01]:
                 del self.table[key]
-            self.ranks = {key: cell[2] / cell[1] for key, cell in self.table.items() if cell[1] > 0}
-            for name in self.packages:
-                row = [score for (package, _), score in self.ranks.items() if package == name]
-                self.mean[name] = sum(row) / len(row) if row else 0.0
+            self.ranks = {name: {sid: cell[2] / cell[1] for (package, sid), cell in self.table.items()
+                                 if package == name and cell[1] > 0} for name in self.packages}
         live = [st for st in self.streamers.values() if st.line.standing is Standing.ACTIVE]
         fresh = [st.link.rest / st.link.size for st in live if now - st.link.heard < FADE]
-        total = sum(st.link.size for st in live) or 1.0
-        own = sum(st.link.own for st in live) / total
+        own = sum(st.link.own for st in live) / (sum(st.link.size for st in live) or 1.0)
         # The median: one failing streamer's word must not make every other link look full.
         self.usual = max(0.0, median(fresh) if fresh else own * (self.controllers - 1))
-        if self.can_probe:
-            self.probes = min(self.probes, float(len(live)))
-            live.sort(key=lambda st: (max(st.link.heard, st.asked), self.chance()))
-            for st in live[:int(self.probes)]:
-                if st.back <= now:
-                    st.asked, self.probes = now, self.probes - 1
-                    self.answers.append(("probe", st.line.streamer))
 
     def raise_one(self, now: float, st: Streamer) -> None:
         up = [vw for vw in st.held.values() if vw.playing and vw.rung < vw.top and now - vw.stepped >= DWELL]
@@ -497,26 +508,19 @@
         self.answers.append(("rung", vw.id, rung))
 
     def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
-        if vw.streamer is not None:
-            self.ask(now, vw, -1)
+        self.ask(now, vw, -1)
         vw.rung = rung
-        if vw.streamer is not None:
-            self.ask(now, vw, 1)
+        self.ask(now, vw, 1)
 
     def put(self, now: float, vw: Viewing, st: Streamer) -> None:
         vw.streamer = st
         st.held[vw.id] = vw
-        self.seats[vw.ask.title, vw.package.name] += 1
         self.ask(now, vw, 1)
 
     def drop(self, now: float, vw: Viewing) -> None:
         self.ask(now, vw, -1)
         del vw.streamer.held[vw.id]
         vw.streamer = None
-        seat = vw.ask.title, vw.package.name
-        self.seats[seat] -= 1
-        if not self.seats[seat]:
-            del self.seats[seat]
 
     def ask(self, now: float, vw: Viewing, sign: int) -> None:
         # Viewers of one live title at one rung share a stream: each further one adds only a part.
@@ -531,10 +535,6 @@
     def use(self, now: float, st: Streamer, more: float = 0.0) -> float:
         return max(st.link.use(now, self.usual, more), st.rack.use(now, self.usual, more))
 
-    def at(self, when: float, what: str, who: int) -> None:
-        self.order += 1
-        heappush(self.due, (when, self.order, what, who))
-
     def chance(self) -> float:
         self.draws += 1
         return crc32(b"%d:%d" % (self.seed, self.draws)) / 2**32
