--- a/herongap/benchlink/codec.py
+++ b/herongap/benchlink/codec.py
@@ -29,6 +29,7 @@
     free = rules.get("MinExtra")
     return Charter(
         me=int(conf["Me"]),
+        zone=conf.get("Locality", ""),
         controllers=int(conf["FleetSize"]),
         over_share=float(conf.get("OverShareWorth", 1)),
         packages=tuple(package(g, info, i) for i, g in enumerate(conf["Grades"])),
--- a/herongap/interface.py
+++ b/herongap/interface.py
@@ -82,6 +82,7 @@
     """What a deployment states at start, in our units."""
 
     me: int
+    zone: str
     controllers: int
     over_share: float
     packages: tuple[Package, ...]
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -8,8 +8,7 @@
  2. cold pace: a streamer that may have just started gets set-ups in this controller's own time slots
  3. further tune-ins: a time-out leaves room for a second one, within the budget and the package's terms
  4. cuts and raises: playing viewings step down where a link is over-asked, and up slowly where there is room
- 5. word of others: notes, reports and a probe before a set-up correct the link estimate, and fade to what
-    others usually ask
+ 5. word of others: notes, reports and probes correct the link estimate, and fade to what others usually ask
  6. floods: a member asking far beyond its usual rate gets floor rungs, on spare room only
 """
 from collections import Counter, defaultdict, deque
@@ -24,6 +23,7 @@
 RANKS = 5.0             # ranks refresh
 WINDOW = 60.0           # how fast old viewings fade from a cell
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
+CROSS = 0.1             # part of its link that a holder in another zone counts as fuller among ties
 TIE = 0.10              # scores this close to the best tie
 MARK = 0.95             # part of a link or uplink that set-ups may fill
 AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
@@ -111,7 +111,7 @@
         c = charter
         self.seed, self.draws, self.me, self.controllers = seed, 0, c.me, c.controllers
         self.packages = {p.name: Terms(p, c.ladder, c.worths, c.join_adds) for p in c.packages}
-        self.cells, self.per_weight, self.places = c.cells, c.link_per_weight, c.places
+        self.zone, self.cells, self.per_weight, self.places = c.zone, c.cells, c.link_per_weight, c.places
         self.racks = [Pipe(c.rack_link) for _ in range(max(1, c.racks))]
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
         # Others see the same room at the same time. What they send to one streamer before it is heard of
@@ -122,9 +122,7 @@
         self.warm_up, self.cold_start = c.warm_up, c.cold_start
         slots = max(1, min(c.places.values(), default=1))
         self.slot = c.warm_up / (slots * c.cold_start * c.fall_multiple * PACE)
-        self.streamers: dict[int, Streamer] = {}
-        self.viewings: dict[int, Viewing] = {}
-        self.waiting: dict[int, Viewing] = {}
+        self.streamers, self.viewings, self.waiting = {}, {}, {}
         # A cell: viewings, seconds played, score summed over those seconds.
         self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.ranks, self.turn = {}, {}
@@ -360,12 +358,14 @@
         """The best cell, ties to the least used; round robin for thin cells and a share of all set-ups."""
         name = vw.package.name
         row = self.ranks.get(name) or {0: 0.0}
-        mean = sum(row.values()) / len(row)
-        score = {st: row.get(st.line.streamer, mean) for st in room}
+        score = {st: row.get(st.line.streamer, sum(row.values()) / len(row)) for st in room}
         best = max(score.values())
         tied = [st for st in room if score[st] >= best - TIE * abs(best)]
-        st = min(tied, key=lambda st: (self.use(now, st), self.chance()))
+        near = {st: st.line.zone == self.zone for st in room}
+        st = min(tied, key=lambda st: (self.use(now, st) - CROSS * near[st], self.chance()))
         if self.table[name, st.line.streamer][0] < THIN or self.chance() < SEED:
+            # Other zones are seeded only in need: crossing costs, and breaks when a zone is cut off.
+            room = [st for st in room if near[st]] or room
             room.sort(key=lambda st: st.line.streamer)
             # Each starts its round elsewhere: with few viewings each, all would seed the same lowest ids.
             last = self.turn.get(name, room[int(self.chance() * len(room))].line.streamer)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,6 +9,7 @@
 def charter(**changes) -> Charter:
     base = dict(
         me=0,
+        zone="a",
         controllers=2,
         over_share=1.0,
         packages=(NEWS,),
@@ -36,8 +37,8 @@
     return Charter(**(base | changes))
 
 
-def streamer(i: int, cell: int, standing=Standing.ACTIVE, started=None) -> Listed:
-    return Listed(i, "a", "std", cell, standing, 1.0, started)
+def streamer(i: int, cell: int, standing=Standing.ACTIVE, started=None, zone="a") -> Listed:
+    return Listed(i, zone, "std", cell, standing, 1.0, started)
 
 
 def controller(terms: Charter | None = None, now: float = 0.0, seed: int = 7) -> Controller:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from helpers import ask, charter, controller, pull
+from helpers import ask, charter, controller, pull, streamer
 
 from herongap.benchlink.link import Link, Malformed
 from herongap.interface import Ending, Load
@@ -19,8 +19,8 @@
 
 def test_the_best_cell_wins_once_cells_are_thick():
     c = controller()
-    for streamer in (10, 11, 12):
-        c.table["news", streamer][:] = [9.0, 9.0, 9.0 * (200 if streamer == 11 else 100)]
+    for st in (10, 11, 12):
+        c.table["news", st][:] = [9.0, 9.0, 9.0 * (200 if st == 11 else 100)]
     c.asked(0.0, ask(1))
     sent = [d for d in pull(c, 0.0) if d[0] == "tune_in"]
     assert sent[0][2] == 11
@@ -85,6 +85,19 @@
     assert [d[2] != probed for d in pull(c, 0.1) if d[0] == "tune_in"] == [True]
 
 
+def test_set_ups_stay_in_the_own_zone_while_it_has_room():
+    c = controller()
+    c.listed(0.0, "changes", (streamer(10, 0, zone="b"), streamer(11, 1, zone="b")))
+    sent = []
+    for i in range(3):
+        c.asked(i / 100, ask(i, top=0))
+        sent += [d[2] for d in pull(c, i / 100) if d[0] == "tune_in"]
+    c.set_aside(0.1, c.streamers[12], False)
+    c.asked(0.1, ask(9, top=0))
+    sent += [d[2] for d in pull(c, 0.1) if d[0] == "tune_in"]
+    assert sent[:3] == [12, 12, 12] and sent[3] in (10, 11)
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
