Cuts and the room ahead of a rung go by a going price of the last step

Cause: with one viewing on a link each, cheapest first has nothing to choose from: dear low rungs were cut as often as cheap high ones, and cheap high rungs took the room that many low ones could have used. The mean gain of the last steps of a controller's own viewings, a sample of all, now serves as price: a chance cut is the likelier, and a rung's room ahead the larger, the cheaper the step is against it. It may misjudge the price while a controller holds one or two viewings.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -19,8 +19,7 @@
 
 from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Package, Repeat, Standing
 
-PERIOD = 0.5            # the timer: scores, raises, probes
-RANKS = 5.0             # ranks refresh
+PERIOD, RANKS = 0.5, 5.0  # the timer; ranks refresh
 WINDOW = 60.0           # how fast old viewings fade from a cell
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 CROSS = 0.1             # part of its link that a holder in another zone counts as fuller among ties
@@ -116,7 +115,7 @@
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
         # Others see the same room at the same time. What they send to one streamer before it is heard of
         # goes by the viewings there, not by how many controllers share them.
-        self.ahead = 1 + AHEAD * (1 - 1 / max(1, c.controllers))
+        self.ahead = AHEAD * (1 - 1 / max(1, c.controllers))
         self.can_probe, self.come_back = c.probes, min(c.come_back, COME_BACK)
         self.extra = c.extra_free is not None and (c.extra_free, c.extra_share, c.extra_window)
         self.warm_up, self.cold_start = c.warm_up, c.cold_start
@@ -128,7 +127,7 @@
         self.ranks, self.turn = {}, {}
         self.taken, self.extras = deque(), deque()
         self.begun, self.shares, self.rates = now, c.over_share < 0.5, {}
-        self.usual = 0.0
+        self.usual = self.price = 0.0
         self.due: list[tuple] = []
         self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
         self.over, self.probing = set(), set()
@@ -249,8 +248,7 @@
             vw.tried.add(streamer)
             if how not in NEVER_RAN:
                 vw.ran.append((st.line.zone, st.line.cell, vw.sent))
-            if how is Ending.NOT_SENT:
-                vw.tries = self.tune_ins
+            vw.tries = self.tune_ins if how is Ending.NOT_SENT else vw.tries
             self.waiting[viewing] = vw
             heappush(self.due, (min(max(now + 0.05, vw.aim), vw.until - 0.05), "hold", viewing))
         self.look = True
@@ -317,8 +315,6 @@
             # Waiting would not help: the viewer is better off coming again.
             self.give_up(vw)
             return True
-        if vw.waits in self.probing:
-            return False
         seated = p.seats and p.seats <= sum(
             held.streamer is not None and held.package is p and held.ask.title == vw.ask.title
             for held in self.viewings.values())
@@ -329,10 +325,11 @@
         if vw.flood:
             ready = [st for st in ready if self.use(now, st, p.rates[p.floor]) <= FLOOD_MARK
                      and len(st.held) < FLOOD_MARK * self.places.get(st.line.kind, 1) / self.controllers]
-        if not vw.probed and self.inquire(now, vw, ready):
+        if vw.waits in self.probing or (not vw.probed and self.inquire(now, vw, ready)):
             return False
         for rung in range(p.floor if vw.flood else vw.top, p.floor - 1, -1):
-            more = p.rates[rung] * (self.ahead if rung > p.floor else 1)
+            ahead = self.ahead * (self.price / p.gain[rung] if self.price else 1.0)
+            more = p.rates[rung] * (1 + ahead if rung > p.floor else 1)
             room = [st for st in ready if self.use(now, st, more) <= MARK]
             if room:
                 self.send(now, vw, self.pick(now, vw, room), rung)
@@ -450,6 +447,9 @@
                     cell = self.table[vw.package.name, st.line.streamer]
                     cell[1] += PERIOD
                     cell[2] += PERIOD * (vw.package.rates[vw.rung] * 8 * st.share / 20 - 370 * (1 - st.share))
+        # Its own viewings are a sample of all: what their last steps are worth, on the mean, is the price.
+        gains = [vw.package.gain[vw.rung] for vw in self.viewings.values() if vw.playing]
+        self.price = sum(gains) / len(gains) if gains else 0.0
         if now >= self.refresh:
             self.refresh = now + RANKS
             for key in [key for key, cell in self.table.items() if cell[0] + cell[1] < 0.01]:
@@ -486,14 +486,12 @@
                     if vw.playing and vw.streamer and pipe in (vw.streamer.link, vw.streamer.rack)]
             # Each step costs the viewer: all that one viewing gives up goes in a single step.
             goal, stepped = pipe.own * MARK / use, {}
-            while pipe.own > goal:
-                down = [vw for vw in held if vw.rung > vw.package.floor]
-                if not down:
-                    break
+            while pipe.own > goal and (down := [vw for vw in held if vw.rung > vw.package.floor]):
                 vw = min(down, key=lambda vw: vw.package.gain[vw.rung])
                 # By chance if greater than due: single viewings of many controllers must not all step.
                 rates = vw.package.rates
-                if self.chance() * (rates[vw.rung] - rates[vw.rung - 1]) > pipe.own - goal:
+                due = (pipe.own - goal) * self.price / vw.package.gain[vw.rung]
+                if self.chance() * (rates[vw.rung] - rates[vw.rung - 1]) > due:
                     break
                 self.set_rung(now, vw, vw.rung - 1)
                 stepped[vw.id] = vw
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -2,6 +2,7 @@
 
 import io
 import random
+from collections import Counter
 
 import pytest
 from helpers import ask, charter, controller, pull, streamer
@@ -98,6 +99,20 @@
     assert sent[:3] == [12, 12, 12] and sent[3] in (10, 11)
 
 
+def test_cheap_steps_are_cut_first_though_a_controller_holds_one_viewing_on_the_link():
+    cut = Counter()
+    for seed in random.Random(4).sample(range(1 << 32), 60):
+        for rung in (1, 2):
+            c = controller(charter(controllers=200, racks=3), seed=seed)
+            for i, st in enumerate((10, 11, 12)):
+                c.handed(0.0, ask(i, title=i), st)
+                c.rung_told(0.0, i, rung if i == 0 else 1 + i % 2)
+            pull(c, 0.0)
+            c.load_told(5.0, 10, False, 0, 1.2)
+            cut[rung] += any(d[:2] == ("rung", 0) for d in pull(c, 5.0))
+    assert cut[2] > 1.2 * cut[1] > 0
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
