--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -24,10 +24,9 @@
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 CROSS = 0.1             # part of its link that a holder in another zone counts as fuller among ties
 TIE = 0.10              # scores this close to the best tie
-MARK = 0.95             # part of a link or uplink that set-ups may fill
+MARK = 0.95             # part of a link or uplink that set-ups and raises may fill
 AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
 OVER = 1.04             # use above which playing viewings are cut
-RAISE = 0.7             # use under which they may be raised
 SETTLE = 2.0            # seconds that a cut has to show, beside the lateness of notes
 DWELL, TAKEN_OVER = 12.0, 2.0  # a viewing is not raised sooner after its last step, or after its handover
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
@@ -84,10 +83,9 @@
         self.id, self.ask, self.package, self.came = ask.viewing, ask, package, now
         self.until, self.aim = now + ask.left, now + min(package.join, ask.left)
         self.top, self.rung, self.stepped = min(ask.top, package.top), package.floor, now
-        self.streamer: Streamer | None = None
+        self.streamer = self.waits = None
         self.playing = self.done = self.flood = False
-        self.tries, self.sent, self.tried, self.ran = 0, now, set(), []
-        self.probed, self.waits = 0, None
+        self.tries, self.probed, self.sent, self.tried, self.ran = 0, 0, now, set(), []
 
 
 class Terms:
@@ -125,7 +123,7 @@
         # A cell: viewings, seconds played, score summed over those seconds.
         self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.ranks, self.turn = {}, {}
-        self.taken, self.extras = deque(), deque()
+        self.taken, self.extras = [], []
         self.begun, self.shares, self.rates = now, c.over_share < 0.5, {}
         self.usual = self.price = 0.0
         self.due: list[tuple] = []
@@ -239,8 +237,7 @@
             # Without a report of its own, a streamer that refuses by load is taken to be at that load.
             if load is None and self.full_from:
                 st.link.told(now, self.full_from, 0.0)
-        elif how is Ending.BROKEN or (not vw.playing and how in (
-                Ending.FAULTY, Ending.TIMED_OUT, Ending.UNREACHED, Ending.UNKNOWN)):
+        elif how is Ending.BROKEN or not (vw.playing or how in (Ending.CALLED_OFF, Ending.NOT_SENT)):
             self.failed(now, vw, st, how)
         if closed or vw.done:
             del self.viewings[viewing]
@@ -291,7 +288,6 @@
                 self.place(now, self.waiting[who]) or self.give_up(self.waiting[who])
         if now >= self.period:
             self.tick(now)
-            self.look = True
         for streamer in self.over:
             self.cut(now, self.streamers[streamer])
             self.raise_one(now, self.streamers[streamer])
@@ -328,8 +324,7 @@
         if vw.waits in self.probing or (not vw.probed and self.inquire(now, vw, ready)):
             return False
         for rung in range(p.floor if vw.flood else vw.top, p.floor - 1, -1):
-            ahead = self.ahead * (self.price / p.gain[rung] if self.price else 1.0)
-            more = p.rates[rung] * (1 + ahead if rung > p.floor else 1)
+            more = p.rates[rung] * (1 + self.room(p, rung) if rung > p.floor else 1)
             room = [st for st in ready if self.use(now, st, more) <= MARK]
             if room:
                 self.send(now, vw, self.pick(now, vw, room), rung)
@@ -396,10 +391,8 @@
         if not self.extra:
             return True
         free, share, window = self.extra
-        while self.extras and self.extras[0] < now - window - 0.1:
-            self.extras.popleft()
-        while self.taken and self.taken[0] < now - window + 0.1:
-            self.taken.popleft()
+        self.extras = [at for at in self.extras if at >= now - window - 0.1]
+        self.taken = [at for at in self.taken if at >= now - window + 0.1]
         return len(self.extras) + 1 <= free + share * len(self.taken)
 
     def repeats_at(self, now: float, vw: Viewing, st: Streamer) -> bool:
@@ -435,7 +428,7 @@
 
     def tick(self, now: float) -> None:
         """The one periodic job: scores, ranks, what others usually ask, raises and probes."""
-        self.period = now + PERIOD
+        self.period, self.look = now + PERIOD, True
         fade = 1 - PERIOD / WINDOW
         for cell in self.table.values():
             cell[:] = cell[0] * fade, cell[1] * fade, cell[2] * fade
@@ -462,6 +455,10 @@
         # The median: one failing streamer's word must not make every other link look full.
         self.usual = max(0.0, median(fresh) if fresh else own * (self.controllers - 1))
 
+    def room(self, p: Terms, rung: int) -> float:
+        """How often a rung must fit again for what others may do: the cheaper its last step, the more."""
+        return self.ahead * (self.price / p.gain[rung] if self.price else 1.0)
+
     def raise_one(self, now: float, st: Streamer) -> None:
         up = [vw for vw in st.held.values() if vw.playing and vw.rung < vw.top and now - vw.stepped >= DWELL]
         for vw in sorted(up, key=lambda vw: -vw.package.gain[vw.rung + 1])[:1]:
@@ -469,8 +466,9 @@
             rates, use, own = vw.package.rates, self.use(now, st), st.link.own / st.link.size
             for rung in range(vw.top, vw.rung, -1):
                 more = (rates[rung] - rates[vw.rung]) / st.link.size
-                part = (RAISE - use) / (more + max(0.0, use - own) * (rates[rung] / rates[vw.rung] - 1))
-                if use + more <= RAISE and (part >= 1 or (rung == vw.rung + 1 and self.chance() < part)):
+                part = (MARK - use) / (more + max(0.0, use - own) * (rates[rung] / rates[vw.rung] - 1))
+                if use + more * (1 + self.room(vw.package, rung)) <= MARK and (
+                        part >= 1 or (rung == vw.rung + 1 and self.chance() < part)):
                     self.step(now, vw, rung)
                     return
 
