Thin cells count as their zone's average; rows that cannot fill are hardly seeded

Extension, after the paper's k-NN with neighbours at a greater distance: a thin cell counts as the average of its zone, else of its row; it is seeded with the chance that the row holds viewings for each streamer, so small deployments seed as before.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -1,9 +1,8 @@
 """All decisions of one controller. Call the input methods as things are heard, then `decide(now)` until None.
 
 The interface is `herongap/interface.py`. The design (docs/design.md): a table of the mean quality that this
-controller's own recent viewings got, a row per package and a cell per streamer; the best cell among ready
-holders with room wins, thin cells are seeded by round robin, and rungs are admitted on link and rack uplink.
-Mechanisms beside it:
+controller's own recent viewings got, a row per package, a cell per streamer; the best ready holder with room
+wins, thin cells are seeded by round robin, rungs are admitted on link and uplink. Mechanisms beside it:
  1. set aside: a streamer that fails or goes silent gets nothing for a while, and its cells hear of it
  2. cold pace: a streamer that may have just started gets set-ups in this controller's own time slots
  3. further tune-ins: a time-out leaves room for a second one, within the budget and the package's terms
@@ -19,11 +18,9 @@
 
 from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Package, Repeat, Standing
 
-PERIOD, RANKS = 0.5, 5.0  # the timer; ranks refresh
-WINDOW = 60.0           # how fast old viewings fade from a cell
+PERIOD, RANKS, WINDOW = 0.5, 5.0, 60.0  # the timer; ranks refresh; old viewings fade from a cell
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
-CROSS = 0.1             # part of its link that a holder in another zone counts as fuller among ties
-TIE = 0.10              # scores this close to the best tie
+TIE, CROSS = 0.10, 0.1  # scores this close to the best tie; another zone counts as so much fuller among them
 MARK = 0.95             # part of a link or uplink that set-ups and raises may fill
 AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
 OVER = 1.04             # use above which playing viewings are cut
@@ -33,14 +30,12 @@
 SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
 PROBES = 2              # probes at most before a set-up, where streamers tell their load only so
 AWAY = 4.0              # how long a failing streamer is set aside, and half as much more by chance
-HOLD = 0.4              # part of the join target that a viewing without room is held
-FIRST = 0.45            # part of the join target that a first tune-in may take
+HOLD, FIRST = 0.4, 0.45  # parts of the join target: held without room; taken by a first tune-in
 FADE = 8.0              # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
 FLOOD, LEAST = 4.0, 5.0  # a member floods at so many times its usual rate and so many viewings a second more
 FLOOD_MARK = 0.5        # part of links and of places that a flood may fill
-FORGET = 120.0          # seconds after which a streamer that left is forgotten
-COME_BACK = 0.5         # when a blocked viewer is told to come again, where it can be told
+FORGET, COME_BACK = 120.0, 0.5  # a streamer that left is forgotten; a blocked viewer may come again
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.NOT_SENT)
 
 
@@ -122,7 +117,7 @@
         self.streamers, self.viewings, self.waiting = {}, {}, {}
         # A cell: viewings, seconds played, score summed over those seconds.
         self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
-        self.ranks, self.turn = {}, {}
+        self.ranks, self.fill, self.turn = {}, {}, {}
         self.taken, self.extras = [], []
         self.begun, self.shares, self.rates = now, c.over_share < 0.5, {}
         self.usual = self.price = 0.0
@@ -352,13 +347,15 @@
     def pick(self, now: float, vw: Viewing, room: list[Streamer]) -> Streamer:
         """The best cell, ties to the least used; round robin for thin cells and a share of all set-ups."""
         name = vw.package.name
-        row = self.ranks.get(name) or {0: 0.0}
-        score = {st: row.get(st.line.streamer, sum(row.values()) / len(row)) for st in room}
+        # A controller with few viewings has thin cells alone: they count as the average of their zone, as the
+        # paper's k-NN takes neighbours at a greater distance, and seeding is left to rows that can fill.
+        score = {st: self.ranks.get((name, st.line.streamer), self.ranks.get(
+            (name, st.line.zone), self.ranks.get((name, None), 0.0))) for st in room}
         best = max(score.values())
         tied = [st for st in room if score[st] >= best - TIE * abs(best)]
         near = {st: st.line.zone == self.zone for st in room}
         st = min(tied, key=lambda st: (self.use(now, st) - CROSS * near[st], self.chance()))
-        if self.table[name, st.line.streamer][0] < THIN or self.chance() < SEED:
+        if self.chance() < max(SEED, ((name, st.line.streamer) not in self.ranks) * self.fill[name]):
             # Other zones are seeded only in need: crossing costs, and breaks when a zone is cut off.
             room = [st for st in room if near[st]] or room
             room.sort(key=lambda st: st.line.streamer)
@@ -385,9 +382,8 @@
         self.waiting.pop(vw.id)
         self.viewings.pop(vw.id)
         p = vw.package
-        harm = vw.ran and (p.repeat is Repeat.HARMFUL or (
-            p.repeat is Repeat.IN_GROUP and p.group is not Group.ALL))
-        self.answers.append(("abort", vw.id) if harm else ("block", vw.id, self.come_back))
+        safe = p.repeat is Repeat.HARMLESS or (p.repeat, p.group) == (Repeat.IN_GROUP, Group.ALL)
+        self.answers.append(("abort", vw.id) if vw.ran and not safe else ("block", vw.id, self.come_back))
 
     def may_repeat(self, now: float) -> bool:
         """Whether the budget of further tune-ins has one left."""
@@ -452,8 +448,12 @@
             self.refresh = now + RANKS
             for key in [key for key, cell in self.table.items() if cell[0] + cell[1] < 0.01]:
                 del self.table[key]
-            self.ranks = {name: {sid: cell[2] / cell[1] for (package, sid), cell in self.table.items()
-                                 if package == name and cell[1] > 0} for name in self.packages}
+            pooled = defaultdict(lambda: [0.0, 0.0, 0.0])
+            for (name, sid), cell in self.table.items():
+                for near in (sid, sid in self.streamers and self.streamers[sid].line.zone, None):
+                    pooled[name, near][:] = map(sum, zip(pooled[name, near], cell, strict=True))
+            self.ranks = {key: c[2] / c[1] for key, c in pooled.items() if c[0] >= THIN and c[1] > 0}
+            self.fill = {name: pooled[name, None][0] / max(1, len(self.streamers)) for name in self.packages}
         live = [st for st in self.streamers.values() if st.line.standing is Standing.ACTIVE]
         fresh = [st.link.rest / st.link.size for st in live if now - st.link.heard < FADE]
         own = sum(st.link.own for st in live) / (sum(st.link.size for st in live) or 1.0)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -136,6 +136,17 @@
     assert 0 < len(sent) < 5
 
 
+def test_thin_cells_count_as_their_zone_where_a_row_cannot_fill():
+    c, sent = controller(charter(controllers=200, cells=40)), Counter()
+    c.listed(0.0, "changes", tuple(streamer(10 + i, i, zone="b") for i in range(20)))
+    for st in range(10, 50):
+        c.table["news", st][:] = [0.2, 5.0, 5.0 * (100 if st < 30 else 50)]
+    for i in range(40):
+        c.asked(i / 100, ask(i, top=0, holders=40))
+        sent.update(d[2] < 30 for d in pull(c, i / 100) if d[0] == "tune_in")
+    assert sent[True] > 2 * sent[False]
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
