Rungs that earn or ask nothing more cannot stop the module

Found on reading: prices divide by the gain of a step, and by what it asks; a deployment whose ladder or worths repeat a figure would have stopped it with a division by zero. Both now have a smallest value; a small test fails without it. No other decision changes; the periodic job's description is brought up to date.

--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -92,7 +92,7 @@
         self.rates = [kb * p.scale for kb in ladder]
         self.adds = join_adds if p.live else 1.0
         # Value for each kB a second that the step up to a rung brings: cheapest steps are cut first.
-        self.gain = [p.value * (w - v) / max(kb - k, 1e-9) for w, v, kb, k in
+        self.gain = [max(p.value * (w - v), 1e-9) / max(kb - k, 1e-9) for w, v, kb, k in
                      zip(worths, (0.0, *worths), self.rates, (0.0, *self.rates), strict=False)]
 
 
@@ -428,7 +428,7 @@
                 st.started = max(st.started, st.back)
 
     def tick(self, now: float) -> None:
-        """The one periodic job: scores, ranks, what others usually ask, raises and probes."""
+        """The one periodic job: scores, the going price, ranks and what others usually ask."""
         self.period, self.look = now + PERIOD, True
         fade = 1 - PERIOD / WINDOW
         for cell in self.table.values():
@@ -470,7 +470,7 @@
             # All others here hear the same word at the same time, and may all raise on it.
             rates, use, own = vw.package.rates, self.use(now, st), st.link.own / st.link.size
             for rung in range(vw.top, vw.rung, -1):
-                more = (rates[rung] - rates[vw.rung]) / st.link.size
+                more = max(rates[rung] - rates[vw.rung], 1e-9) / st.link.size
                 part = (MARK - use) / (more + max(0.0, use - own) * (rates[rung] / rates[vw.rung] - 1))
                 if use + more * (1 + self.room(vw.package, rung)) <= MARK and (
                         part >= 1 or (rung == vw.rung + 1 and self.chance() < part)):
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -147,6 +147,15 @@
     assert sent[True] > 2 * sent[False]
 
 
+def test_rungs_that_earn_or_ask_nothing_more_do_no_harm():
+    c = controller(charter(ladder=(100.0, 100.0, 900.0), worths=(0.5, 0.5, 0.5)))
+    c.handed(0.0, ask(1), 10)
+    for now, asked in ((0.0, 0.3), (9.0, 0.3), (15.0, 0.3), (20.0, 1.5), (30.0, 1.5)):
+        c.load_told(now, 10, False, 1, asked)
+        c.asked(now, ask(int(now) + 2))
+        assert any(d[0] in ("tune_in", "block", "wake") for d in pull(c, now))
+
+
 def test_a_failure_sets_a_streamer_aside_for_a_while():
     c, sent = controller(charter(cells=1)), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
