--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -25,10 +25,9 @@
 AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
 OVER = 1.04             # use above which playing viewings are cut
 SETTLE = 1.0            # seconds that a cut has to show, beside the lateness of notes
-DWELL, TAKEN_OVER = 6.0, 2.0  # a viewing is not raised sooner after its last step, or after its handover
+DWELL = 6.0             # a viewing is not raised sooner after its last step
 FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
 SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
-PROBES = 2              # probes at most before a set-up, where streamers tell their load only so
 AWAY = 4.0              # how long a failing streamer is set aside, and half as much more by chance
 HOLD, FIRST = 0.4, 0.45  # parts of the join target: held without room; taken by a first tune-in
 FADE = 16.0             # seconds in which word of others' use fades
@@ -80,7 +79,7 @@
         self.top, self.rung, self.stepped = min(ask.top, package.top), package.floor, now
         self.streamer = self.waits = None
         self.playing = self.done = self.flood = False
-        self.tries, self.probed, self.sent, self.tried, self.ran = 0, 0, now, set(), []
+        self.tries, self.sent, self.tried, self.ran = 0, now, set(), []
 
 
 class Terms:
@@ -175,7 +174,7 @@
         vw = self.viewings[ask.viewing] = Viewing(ask, self.packages[ask.package], now)
         self.put(now, vw, self.streamers[streamer])
         # Nobody here chose its rung: it may be raised as soon as its streamer has been heard of.
-        vw.playing, vw.tries, vw.stepped = True, 1, now - DWELL + TAKEN_OVER
+        vw.playing, vw.tries, vw.stepped = True, 1, now - DWELL
         self.table[vw.package.name, streamer][0] += 1
 
     def rung_told(self, now: float, viewing: int, rung: float) -> None:
@@ -319,7 +318,7 @@
         if vw.flood:
             ready = [st for st in ready if self.use(now, st, p.rates[p.floor]) <= FLOOD_MARK
                      and len(st.held) < FLOOD_MARK * self.places.get(st.line.kind, 1) / self.controllers]
-        if vw.waits in self.probing or (not vw.probed and self.inquire(now, vw, ready)):
+        if vw.waits in self.probing or (vw.waits is None and self.inquire(now, vw, ready)):
             return False
         for rung in range(p.floor if vw.flood else vw.top, p.floor - 1, -1):
             more = p.rates[rung] * (1 + self.room(p, rung) if rung > p.floor else 1)
@@ -330,16 +329,14 @@
         roomy = min(ready, key=lambda st: (self.use(now, st), self.chance()), default=None)
         if fits := roomy is not None and self.use(now, roomy, p.rates[p.floor]) <= 1:
             self.send(now, vw, roomy, p.floor)
-        else:
-            self.inquire(now, vw, ready)
         return fits
 
     def inquire(self, now: float, vw: Viewing, ready: list[Streamer]) -> bool:
         """Probe a holder not lately heard of: a controller with few viewings knows next to nothing."""
         unheard = self.can_probe and [st for st in ready if now - st.link.heard > 1]
-        if not unheard or vw.probed >= PROBES:
+        if not unheard:
             return False
-        vw.waits, vw.probed = unheard[int(self.chance() * len(unheard))].line.streamer, vw.probed + 1
+        vw.waits = unheard[int(self.chance() * len(unheard))].line.streamer
         self.probing.add(vw.waits)
         self.answers.append(("probe", vw.waits))
         return True
