Holders are any set of shelves, and a streamer's rack comes with its line

Change: Asked.holders is a set of shelves, Listed has shelf and rack, Charter loses cells and racks; the bench's adapter translates, and keeps one translated list for all instances of a deployment.

--- a/herongap/benchlink/codec.py
+++ b/herongap/benchlink/codec.py
@@ -36,8 +36,6 @@
         ladder=tuple(map(float, info["LadderKb"])),
         worths=tuple(map(float, info["LevelWorth"])),
         join_adds=float(info.get("JoinAdds", 1)),
-        cells=int(info["Places"]),
-        racks=int(info["Racks"]),
         link_per_weight=float(info["KbPerWeight"]),
         rack_link=float(info["RackLinkKb"]),
         places=dict(zip(conf["Skus"], map(int, info["KindSlots"]), strict=False)),
@@ -78,22 +76,25 @@
     )
 
 
-def listed(line: dict) -> Listed:
-    """One entry of a list."""
+def listed(line: dict, racks: int) -> Listed:
+    """One entry of a list; a cell's streamers hold the same titles, and its rack is the cell mod `racks`."""
+    cell = int(line["SlotNo"])
     since = line.get("UpSince") or 0
     return Listed(
         line["Streamer"],
         line["Hall"],
         line["Flavor"],
-        int(line["SlotNo"]),
+        cell,
+        cell,
+        cell % racks,
         STANDINGS[line["State"]],
         float(line.get("Scale", 1)),
         since / 1000 if since else None,
     )
 
 
-def asked(f: dict) -> Asked:
-    """A request, or a viewing handed over."""
+def asked(f: dict, cells: int) -> Asked:
+    """A request, or a viewing handed over; its holders are a run of the wire's `cells`."""
     hint = f.get("SizeHint")
     return Asked(
         f["Ref"],
@@ -101,8 +102,7 @@
         f["Grade"],
         f.get("Team") or None,
         f["Item"],
-        int(f["Home"]),
-        int(f["Holders"]),
+        frozenset((int(f["Home"]) + i) % cells for i in range(int(f["Holders"]))),
         int(f["MaxRung"]),
         f.get("Remaining", 0) / 1000,
         None if hint is None else hint / 1000,
--- a/herongap/benchlink/link.py
+++ b/herongap/benchlink/link.py
@@ -31,8 +31,6 @@
 
 
 READERS = {
-    "WorkItem": lambda f: ("asked", codec.asked(f)),
-    "Handover": lambda f: ("handed", codec.asked(f), f["Streamer"]),
     "Begun": lambda f: ("started", f["Ref"], f["Shot"], f["Streamer"], f["TimeTaken"] / 1000),
     "Answer": lambda f: (
         "ended",
@@ -58,7 +56,8 @@
     def __init__(self, out):
         self.out = out
         self.hosted: dict[str, Controller] = {}
-        self.lists: dict[int, tuple] = {}
+        self.shapes: dict[str, tuple[int, int]] = {}  # cells and racks of each instance's deployment
+        self.lists: dict[int, tuple[list[dict], dict[int, tuple]]] = {}
         self.now = 0.0
 
     def serve(self, lines) -> None:
@@ -86,22 +85,36 @@
     def read(self, name: str, f: dict):
         """The call that an event stands for, or None."""
         if name == "List":
-            self.lists[f["RosterId"]] = tuple(map(codec.listed, f["Elements"]))
+            self.lists[f["RosterId"]] = f["Elements"], {}
             return None
-        if name not in READERS and name not in ("Spawn", "Retire", "PeersKnown"):
+        if name not in READERS and name not in ("Spawn", "Retire", "PeersKnown", "WorkItem", "Handover"):
             raise ValueError(f"unknown message {name!r}")
         who = f["I"]
         if name == "Spawn":
+            info = f["Conf"]["FamilyInfo"]
+            self.shapes[who] = int(info["Places"]), max(1, int(info["Racks"]))
             return ("__init__", f["Seed"], codec.charter(f["Conf"]))
         if name == "Retire":
             return None
         if who not in self.hosted:
             raise ValueError(f"{who!r} was never started")
+        if name == "WorkItem":
+            return ("asked", codec.asked(f, self.shapes[who][0]))
+        if name == "Handover":
+            return ("handed", codec.asked(f, self.shapes[who][0]), f["Streamer"])
         if name == "PeersKnown":
             kind = KINDS[f["How"]]
-            return ("listed", kind, self.lists[f["RosterId"]] if kind != "failed" else ())
+            return ("listed", kind, self.lines(f["RosterId"], who) if kind != "failed" else ())
         return READERS[name](f)
 
+    def lines(self, number: int, who: str) -> tuple:
+        """A list in our types, made once for all instances of one deployment."""
+        elements, made = self.lists[number]
+        racks = self.shapes[who][1]
+        if racks not in made:
+            made[racks] = tuple(codec.listed(line, racks) for line in elements)
+        return made[racks]
+
     def tell(self, who: str, name: str, call, touched: dict, replies: list[str]) -> None:
         """Make one call; what fails inside the deciding code is reported for that instance."""
         if name == "Retire":
--- a/herongap/interface.py
+++ b/herongap/interface.py
@@ -2,7 +2,8 @@
 
 A host tells the module what it sees by plain method calls, then calls `decide(now)` until it
 returns None. Times are seconds with fractions on the host's clock; rates are kB a second;
-ids are handed back untouched.
+ids (of viewings, viewers, titles, streamers, shelves, cells and racks) are handed back untouched;
+they need an equality, a hash and, among themselves, an order.
 
 Each decision is a tuple, a verb and its operands:
 
@@ -18,6 +19,7 @@
     ("wake", at)                               call woke() at that time
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
@@ -89,8 +91,6 @@
     ladder: tuple[float, ...]
     worths: tuple[float, ...]
     join_adds: float
-    cells: int
-    racks: int
     link_per_weight: float
     rack_link: float
     places: dict[str, int]
@@ -109,27 +109,35 @@
 
 
 class Listed(NamedTuple):
-    """One line of the list of streamers; started is None when it has run for long."""
+    """One line of the list of streamers; started is None when it has run for long.
 
-    streamer: int
+    `shelf` is what a catalogue names as a holder: the streamer itself, or what it shares its titles with.
+    `cell` is the group in which an IN_GROUP repeat is recognised, `rack` the uplink that it shares.
+    """
+
+    streamer: int | str
     zone: str
     kind: str
-    cell: int
+    shelf: int | str
+    cell: int | str
+    rack: int | str
     standing: Standing
     weight: float
     started: float | None
 
 
 class Asked(NamedTuple):
-    """A request for a viewing; left is what remains of the viewer's patience, length a hint or None."""
+    """A request for a viewing; left is what remains of the viewer's patience, length a hint or None.
+
+    `holders` names the shelves that hold the title, in any order.
+    """
 
-    viewing: int
-    viewer: int
+    viewing: int | str
+    viewer: int | str
     package: str
     member: str | None
-    title: int
-    home: int
-    holders: int
+    title: int | str
+    holders: Collection[int | str]
     top: int
     left: float
     length: float | None
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -102,8 +102,8 @@
         c = charter
         self.seed, self.draws, self.me, self.controllers = seed, 0, c.me, c.controllers
         self.packages = {p.name: Terms(p, c.ladder, c.worths, c.join_adds) for p in c.packages}
-        self.zone, self.cells, self.per_weight, self.places = c.zone, c.cells, c.link_per_weight, c.places
-        self.racks = [Pipe(c.rack_link) for _ in range(max(1, c.racks))]
+        self.zone, self.per_weight, self.places = c.zone, c.link_per_weight, c.places
+        self.racks = defaultdict(lambda: Pipe(c.rack_link))
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
         # Others see the same room at the same time. What they send to one streamer before it is heard of
         # goes by the viewings there, not by how many controllers share them.
@@ -136,8 +136,8 @@
             if st is None:
                 if line.standing is Standing.LEFT:
                     continue
-                rack = self.racks[line.cell % len(self.racks)]
-                st = self.streamers[line.streamer] = Streamer(line, Pipe(self.per_weight * line.weight), rack)
+                link = Pipe(self.per_weight * line.weight)
+                st = self.streamers[line.streamer] = Streamer(line, link, self.racks[line.rack])
             if line.started is not None and line.started > st.started:
                 st.started, st.share = line.started, 1.0
             st.came, st.line = now, line
@@ -297,8 +297,8 @@
 
     def place(self, now: float, vw: Viewing) -> bool:
         """Send a waiting viewing to the best holder with room, or say that there is none."""
-        p, cells = vw.package, {(vw.ask.home + i) % self.cells for i in range(vw.ask.holders)}
-        holders = [st for st in self.streamers.values() if st.line.cell in cells
+        p = vw.package
+        holders = [st for st in self.streamers.values() if st.line.shelf in vw.ask.holders
                    and st.line.streamer not in vw.tried and self.repeats_at(now, vw, st)]
         spent = vw.tries >= self.tune_ins or (vw.tries and not holders)
         if spent or vw.top < p.floor or vw.until - now < 0.05:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,8 +16,6 @@
         ladder=(100.0, 300.0, 900.0),
         worths=(0.3, 0.6, 1.0),
         join_adds=1.0,
-        cells=3,
-        racks=2,
         link_per_weight=6000.0,
         rack_link=12000.0,
         places={"std": 20},
@@ -37,21 +35,23 @@
     return Charter(**(base | changes))
 
 
-def streamer(i: int, cell: int, standing=Standing.ACTIVE, started=None, zone="a") -> Listed:
-    return Listed(i, zone, "std", cell, standing, 1.0, started)
+def streamer(i: int, cell: int, standing=Standing.ACTIVE, started=None, zone="a", rack=None) -> Listed:
+    return Listed(i, zone, "std", cell, cell, cell % 2 if rack is None else rack, standing, 1.0, started)
 
 
-def controller(terms: Charter | None = None, now: float = 0.0, seed: int = 7) -> Controller:
+def controller(
+    terms: Charter | None = None, now: float = 0.0, seed: int = 7, cells: int = 3, racks: int = 2
+) -> Controller:
     terms = terms or charter()
     c = Controller(now, seed, terms)
-    c.listed(now, "remembered", tuple(streamer(10 + i, i) for i in range(terms.cells)))
+    c.listed(now, "remembered", tuple(streamer(10 + i, i, rack=i % racks) for i in range(cells)))
     return c
 
 
 def ask(
     i: int, top: int = 2, package: str = "news", title: int = 1, holders: int = 3, left: float = 4.0
 ) -> Asked:
-    return Asked(i, i, package, None, title, 0, holders, top, left, None, False, False)
+    return Asked(i, i, package, None, title, range(holders), top, left, None, False, False)
 
 
 def pull(c: Controller, now: float) -> list[tuple]:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -103,7 +103,7 @@
     cut = Counter()
     for seed in random.Random(4).sample(range(1 << 32), 60):
         for rung in (1, 2):
-            c = controller(charter(controllers=200, racks=3), seed=seed)
+            c = controller(charter(controllers=200), seed=seed, racks=3)
             for i, st in enumerate((10, 11, 12)):
                 c.handed(0.0, ask(i, title=i), st)
                 c.rung_told(0.0, i, rung if i == 0 else 1 + i % 2)
@@ -128,7 +128,7 @@
 
 
 def test_hundreds_of_controllers_do_not_wait_minutes_for_a_cold_streamer():
-    c, sent = controller(charter(controllers=200, me=3, cells=40)), []
+    c, sent = controller(charter(controllers=200, me=3), cells=40), []
     c.listed(1.0, "changes", (streamer(10, 0, started=1.0),))
     for i in range(10):
         c.asked(1.0 + i, ask(i, top=0, holders=1))
@@ -137,7 +137,7 @@
 
 
 def test_thin_cells_count_as_their_zone_where_a_row_cannot_fill():
-    c, sent = controller(charter(controllers=200, cells=40)), Counter()
+    c, sent = controller(charter(controllers=200), cells=40), Counter()
     c.listed(0.0, "changes", tuple(streamer(10 + i, i, zone="b") for i in range(20)))
     for st in range(10, 50):
         c.table["news", st][:] = [0.2, 5.0, 5.0 * (100 if st < 30 else 50)]
@@ -157,7 +157,7 @@
 
 
 def test_a_failure_sets_a_streamer_aside_for_a_while():
-    c, sent = controller(charter(cells=1)), []
+    c, sent = controller(cells=1), []
     for i, now in enumerate((0.0, 1.0, 40.0)):
         c.asked(now, ask(i, holders=1))
         sent.append(any(d[0] == "tune_in" for d in pull(c, now)))
@@ -195,7 +195,7 @@
 
 
 def test_a_viewing_whose_holders_were_all_tried_is_answered_at_once():
-    c = controller(charter(cells=1))
+    c = controller(cells=1)
     c.asked(0.0, ask(1, holders=1))
     pull(c, 0.0)
     c.ended(0.1, 1, 0, 10, Ending.FULL, 0.1, False, None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,9 +22,9 @@
     def __init__(self, seed: int, **terms):
         self.random, self.now = random.Random(seed), 0.0
         self.terms = charter(
-            packages=PACKAGES, cells=6, extra_free=1.0, extra_share=0.1, extra_window=5.0, **terms
+            packages=PACKAGES, extra_free=1.0, extra_share=0.1, extra_window=5.0, **terms
         )
-        self.c = controller(self.terms)
+        self.c = controller(self.terms, cells=6)
         self.standing = {10 + i: Standing.ACTIVE for i in range(6)}
         self.started = {st: -1e9 for st in self.standing}
         self.asks, self.owed, self.out, self.playing, self.ran, self.tries = {}, {}, {}, {}, {}, {}
