--- /dev/null
+++ b/herongap/cli/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m herongap.cli`."""
+
+from herongap.cli import main
+
+main()
--- /dev/null
+++ b/herongap/daemon/events.py
@@ -0,0 +1,114 @@
+"""Following a streamer's event stream, and passing on what it tells."""
+
+import time
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import gevent
+import h11
+import structlog
+
+from herongap.daemon.wire import Address, Call
+from herongap.host.pulse import Pulse, Word
+from herongap.interface import Ending
+from herongap.whep import EventReader
+
+if TYPE_CHECKING:
+    from herongap.daemon.streamers import Streamers
+
+log = structlog.get_logger()
+# How a streamer says that a session ended; anything else counts as broken off.
+REASONS = {"ended": Ending.PLAYED, "viewer-gone": Ending.PLAYED}
+WANTED = b'["active","inactive","layers","viewercount","load","delivery"]'
+
+
+class Follower:
+    """One event stream: subscribe (POST), read (GET), come back after a break."""
+
+    def __init__(self, port: "Streamers", streamer, address: Address, target: str):
+        self.port, self.streamer, self.address, self.target = port, streamer, address, target
+        self.pulse = Pulse(port.clock())
+        self.call: Call | None = None
+        self.silent = False
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        self._greenlet.kill(block=False)
+        if self.call:
+            self.call.close()
+
+    def _run(self) -> None:
+        wait = 0.05
+        while True:
+            unknown = False
+            try:
+                unknown = self._read_stream()
+                wait = 0.05
+            except (OSError, h11.ProtocolError, ValueError) as fault:
+                log.info("event stream broke", streamer=self.streamer, cause=repr(fault))
+            finally:
+                if self.call:
+                    self.call.close()
+            if self.pulse.broke(self.port.clock(), unknown):
+                self._lost("its event stream cannot be had")
+                return
+            gevent.sleep(wait)
+            wait = min(0.5, 2 * wait)
+
+    def _lost(self, cause: str) -> None:
+        self.port.followers.pop((self.streamer, self.target), None)
+        self.port.lost(self.streamer, cause)
+
+    def _read_stream(self) -> bool:
+        """Read until the stream ends; True if the streamer does not know it (any more)."""
+        self.call = Call(self.address, self.port.connect)
+        name = [("Via", f"1.1 {self.port.name}")]
+        self.call.send("POST", self.target, [*name, ("Content-Type", "application/json")], WANTED)
+        made = self.call.receive(2.0)
+        if made.status in (404, 410):
+            return True
+        if made.status != 201 or not self.call.reusable():
+            raise ConnectionError(f"no event stream: {made.status}")
+        self.call.send(
+            "GET", made.header("location") or self.target, [*name, ("Accept", "text/event-stream")]
+        )
+        head = self.call.head(time.monotonic() + 2.0)
+        if head.status != 200:
+            return head.status in (404, 410)
+        reader, chunks = EventReader(), self.call.chunks(1.0)
+        while True:
+            try:
+                chunk = next(chunks)
+            except StopIteration:
+                return False
+            except TimeoutError:
+                chunks = self.call.chunks(1.0)
+                if self._quiet():
+                    gevent.spawn(self._lost, "silent")
+                    self.stop()
+                continue
+            self.pulse.spoke(self.port.clock())
+            for name, data in reader.feed(chunk):
+                self._tell(name, data)
+
+    def _quiet(self) -> bool:
+        word = self.pulse.word(self.port.clock())
+        if word is Word.SILENT:
+            self.port.host.share_told(self.port.clock(), self.streamer, 0.0)
+        return word is Word.LOST
+
+    def _tell(self, name: str, data: dict) -> None:
+        host, now = self.port.host, self.port.clock()
+        # A streamer's word is not to be trusted to be a number.
+        with suppress(KeyError, TypeError, ValueError):
+            if name == "delivery":
+                host.share_told(now, self.streamer, min(1.0, max(0.0, float(data["share"]))))
+            elif name == "load":
+                for key, uplink in (("link", False), ("rack", True)):
+                    if data.get(key) is not None:
+                        host.load_told(
+                            now, self.streamer, uplink, None, min(100.0, max(0.0, float(data[key])))
+                        )
+            elif name == "inactive" and "resource" in data:
+                how = REASONS.get(data.get("reason"), Ending.BROKEN)
+                self.port.ended_at(self.streamer, str(data["resource"]), how)
--- /dev/null
+++ b/herongap/daemon/run.py
@@ -0,0 +1,114 @@
+"""One front put together: host, port, HTTP, files, timer, and an orderly end."""
+
+import time
+from collections.abc import Callable
+
+import gevent
+import structlog
+from gevent.event import Event
+
+from herongap.daemon.feed import Watched, epoch
+from herongap.daemon.front import Front
+from herongap.daemon.streamers import Streamers
+from herongap.daemon.wire import Address, Server, listen
+from herongap.host import Host, Recorder, State
+from herongap.ini import Site, read_catalogue, read_list
+from herongap.intake import Intake
+from herongap.rules import Controller
+
+log = structlog.get_logger()
+
+
+class Daemon:
+    """A front that listens from `start` to `stop`. `make` is the deciding module, for baselines and tests."""
+
+    def __init__(self, site: Site, make: Callable = Controller, clock: Callable[[], float] = time.monotonic):
+        self.site, self.clock = site, clock
+        # A restarted front is another one to streamers: what the old one held there must not pass for its
+        # own.
+        self.name = f"herongap-{site.front.number}-{time.time_ns() // 1_000_000}"
+        self.intake = Intake(site.bounds)
+        targets = {"whep": site.streamers.whep, "whip": site.streamers.whip}
+        self.port = Streamers(self.name, site.connect, targets, clock)
+        self.port.lagged = self.intake.lagged
+        self.record = self._open_record()
+        recorder = Recorder(self.record.write) if self.record else None
+        self.host = Host(clock(), site.front.seed, site.charter, self.port, recorder, make)
+        self.port.host = self.host
+        self.catalogue = None
+        self.list = Watched(site.streamers.list, self._listed, site.streamers.look)
+        self.titles = Watched(site.catalogue.file, self._catalogued, 1.0)
+        self.front: Front | None = None
+        self.server: Server | None = None
+        self._greenlets: list = []
+        self.stopped = Event()
+
+    @property
+    def address(self) -> Address:
+        return self.server.address
+
+    def start(self) -> None:
+        """Read the files, then listen; raises OSError or ValueError where one cannot be used."""
+        self.titles.read()
+        self.list.read()
+        site = self.site
+        self.front = Front(site, self.host, self.port, self.intake, self.catalogue, self.clock)
+        host, _, port = site.front.listen.rpartition(":")
+        self.server = Server(listen((host, int(port))), self.front.handle, site.bounds, self.intake)
+        runs = (self.port.run, self.list.run, self.titles.run, self._beat)
+        self._greenlets = [gevent.spawn(run) for run in runs]
+        log.info("listening", address="{}:{}".format(*self.address), name=self.name)
+
+    def stop(self) -> None:
+        """Take no new viewing, answer every one that was taken, end those that play, close; in bounded
+        time.
+        """
+        self.intake.stopping = True
+        until = self.clock() + self.site.front.stop_within
+        log.info("stopping", held=len(self.host.lives))
+        while self.clock() < until and any(
+            life.state in (State.WAITING, State.OUT) for life in self.host.lives.values()
+        ):
+            gevent.sleep(0.02)
+        for viewing in list(self.host.lives):
+            self.host.left(self.clock(), viewing)
+        while self.clock() < until and self.host.lives:
+            gevent.sleep(0.02)
+        gevent.sleep(0.05)  # replies that are on their way out
+        self.kill()
+        log.info("stopped", left=len(self.host.lives), **self.host.counts)
+
+    def kill(self) -> None:
+        """Close everything at once."""
+        if self.server:
+            self.server.close()
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+        self.port.close()
+        if self.record:
+            self.record.close()
+            self.host.recorder = None
+        self.stopped.set()
+
+    def _open_record(self):
+        if not self.site.front.record:
+            return None
+        path = self.site.front.record.replace("{name}", self.name)
+        return open(path, "ab", buffering=1 << 16)  # noqa: SIM115
+
+    def _listed(self, data: bytes) -> None:
+        lines, addresses = read_list(data, epoch(self.clock))
+        self.port.addresses |= addresses
+        self.host.listed(self.clock(), "whole", lines)
+        log.info("list taken", streamers=len(lines))
+
+    def _catalogued(self, data: bytes) -> None:
+        self.catalogue = read_catalogue(data)
+        if self.front:
+            self.front.catalogue = self.catalogue
+
+    def _beat(self) -> None:
+        while True:
+            gevent.sleep(0.5)
+            if self.record:
+                self.record.flush()
--- /dev/null
+++ b/herongap/daemon/streamers.py
@@ -0,0 +1,289 @@
+"""The port to streamers: WHIP and WHEP calls in greenlets. It carries; when and whether is the host's to
+say.
+"""
+
+import time
+from contextlib import suppress
+from urllib.parse import quote
+
+import gevent
+import h11
+import structlog
+
+from herongap.daemon.events import Follower
+from herongap.daemon.session import Remote, Session, read_remote
+from herongap.daemon.wire import Address, Call, Pool
+from herongap.host import Answer, Host
+from herongap.http import SDP, Reply
+from herongap.interface import Asked, Ending, Load
+from herongap.orca import HEADER, read_load
+from herongap.whep import write_layer
+
+Id = int | str
+REAP = 10.0  # seconds for which the late answer to a tune-in is still waited for, to tear it down
+CLOSE = 0.8  # seconds for one try of a teardown; two fit into what the host allows
+log = structlog.get_logger()
+
+
+class Streamers:
+    """Carries the host's decisions to streamers, and what comes of them back."""
+
+    def __init__(self, name: str, connect: float, targets: dict[str, str], clock=time.monotonic):
+        self.name, self.connect, self.targets, self.clock = name, connect, targets, clock
+        self.host: Host | None = None
+        self.addresses: dict[Id, Address] = {}
+        self.sessions: dict[Id, Session] = {}
+        self.calls: dict[tuple[Id, int], Call | None] = {}
+        self.remotes: dict[tuple[Id, int], Remote] = {}
+        self.pools: dict[Address, Pool] = {}
+        self.followers: dict[tuple[Id, str], Follower] = {}
+        self.on_over = lambda session, answer: None
+        self.due, self._woken = float("inf"), gevent.event.Event()
+        self.lagged = lambda seconds: None
+
+    # The port.
+
+    def tune_in(self, ask: Asked, number: int, streamer: Id, rung: int, time_out: float) -> None:
+        log.debug(
+            "tune-in",
+            viewing=ask.viewing,
+            streamer=streamer,
+            number=number,
+            rung=rung,
+            time_out=round(time_out, 3),
+        )
+        self.calls[ask.viewing, number] = None
+        gevent.spawn(self._tune_in, ask, number, streamer, rung, time_out)
+
+    def call_off(self, viewing: Id, number: int, streamer: Id) -> None:
+        if call := self.calls.get((viewing, number)):
+            call.hang_up()
+
+    def set_rung(self, viewing: Id, number: int, streamer: Id, rung: int) -> None:
+        session = self.sessions[viewing]
+        session.rung = rung
+        if not session.setting:
+            session.setting = True
+            gevent.spawn(self._set_rung, session, number)
+
+    def tear_down(self, viewing: Id, number: int, streamer: Id, wanted: bool) -> None:
+        gevent.spawn(self._tear_down, viewing, number, streamer, wanted)
+
+    def answer(self, viewing: Id, answer: Answer) -> None:
+        session = self.sessions[viewing]
+        log.info(
+            "answered",
+            viewing=viewing,
+            verdict=answer.verdict,
+            streamer=session.remote and session.remote.streamer,
+            cause=answer.cause and answer.cause.name.lower(),
+        )
+        session.answer = answer
+        if answer.verdict != "plays":
+            del self.sessions[viewing]
+            self.on_over(session, False)
+        session.done.set()
+
+    def over(self, viewing: Id, how: Ending) -> None:
+        if session := self.sessions.pop(viewing, None):
+            log.info(
+                "ended",
+                viewing=viewing,
+                streamer=session.remote and session.remote.streamer,
+                cause=how.name.lower(),
+            )
+            if session.remote:
+                self._unfollow(session.remote)
+            self.on_over(session, True)
+            session.closed.set()
+
+    def probe(self, streamer: Id) -> None:
+        gevent.spawn(self._probe, streamer)
+
+    def follow(self) -> None:
+        """The list is followed from the start; a feed that failed comes back by itself."""
+
+    def tell(self, peer: int, words: bytes) -> None:
+        log.warning("no way to controllers", peer=peer)
+
+    def wake(self, at: float) -> None:
+        self.due = at
+        self._woken.set()
+
+    # The one timer.
+
+    def run(self) -> None:
+        """Wake the host whenever it asked to be; never returns."""
+        while True:
+            self._woken.clear()
+            left = self.due - self.clock()
+            if left > 0:
+                self._woken.wait(None if left == float("inf") else left)
+                continue
+            self.lagged(-left)
+            self.due = float("inf")
+            self.host.woke(self.clock())
+
+    # What goes over the network.
+
+    def _headers(self) -> list[tuple[str, str]]:
+        return [("Via", f"1.1 {self.name}"), ("Accept", "*/*")]
+
+    def _tune_in(self, ask: Asked, number: int, streamer: Id, rung: int, time_out: float) -> None:
+        viewing, key = ask.viewing, (ask.viewing, number)
+        session = self.sessions.get(viewing)
+        how, load = Ending.UNREACHED, None
+        try:
+            if session is None:
+                return
+            # A connection of its own: on a kept one, a reset could not be told from one that came before the
+            # request was read, and whether it ran is what the package's terms go by.
+            call = Call(self.addresses[streamer], min(self.connect, 0.9 * time_out))
+            if not self.host.sendable(viewing, number):
+                call.close()
+                return
+            self.calls[key] = call
+            target = self.targets[session.protocol].format(title=quote(str(ask.title), safe=""), rung=rung)
+            call.send(
+                "POST",
+                target,
+                [*self._headers(), ("Content-Type", SDP), ("Idempotency-Key", f'"{self.name}/{viewing}"')],
+                session.offer,
+            )
+            how = Ending.BROKEN
+            reply = call.receive(time_out + REAP)
+            how, load, remote = self._read(streamer, target, reply)
+            if remote:
+                self.remotes[key] = session.remote = remote
+                how = None
+                if self.host.started(self.clock(), viewing, number, streamer, load):
+                    self._follow(remote)
+                else:
+                    log.info("late", viewing=viewing, streamer=streamer, number=number)
+            self._pool(self.addresses[streamer]).keep(call)
+        except (OSError, KeyError) as fault:
+            log.debug("tune-in failed", viewing=viewing, streamer=streamer, cause=repr(fault))
+            if call := self.calls.get(key):
+                call.close()
+        except h11.RemoteProtocolError as fault:
+            how = Ending.FAULTY
+            log.warning("streamer answers no HTTP", viewing=viewing, streamer=streamer, cause=str(fault))
+            self.calls[key].close()
+        finally:
+            self.calls.pop(key, None)
+            if how is not None:
+                self.host.ended(self.clock(), viewing, number, how, load)
+
+    def _read(self, streamer: Id, target: str, reply: Reply) -> tuple[Ending, Load | None, Remote | None]:
+        load = read_load(reply.header(HEADER))
+        if reply.status == 201:
+            remote = read_remote(streamer, target, reply)
+            return Ending.FAULTY, load, remote
+        if reply.status == 503:
+            return Ending.FULL, load, None
+        if reply.status in (404, 429):
+            # The streamer is sound, it only cannot play this one: nothing is to be held against its link.
+            return Ending.FULL, load or Load(), None
+        if reply.status in (400, 406, 415, 422):
+            # The offer is at fault. Held against streamers, one client could set them all aside.
+            return Ending.NOT_SENT, load, None
+        return Ending.FAULTY, load, None
+
+    def _set_rung(self, session: Session, number: int) -> None:
+        # One after the other, the newest rung last: two at once could arrive in the other order.
+        try:
+            while session.rung is not None and (remote := session.remote) and remote.layer:
+                rung, session.rung = session.rung, None
+                try:
+                    reply = self._call(
+                        remote.streamer,
+                        "POST",
+                        remote.layer,
+                        write_layer(rung),
+                        2.0,
+                        [("Content-Type", "application/json")],
+                    )
+                    gone = reply.status in (404, 410)
+                except (OSError, h11.ProtocolError, KeyError) as fault:
+                    log.warning(
+                        "rung not set", viewing=session.viewing, streamer=remote.streamer, cause=repr(fault)
+                    )
+                    continue
+                if gone:
+                    self.host.ended(self.clock(), session.viewing, number, Ending.BROKEN)
+        finally:
+            session.setting = False
+
+    def _tear_down(self, viewing: Id, number: int, streamer: Id, wanted: bool) -> None:
+        remote = self.remotes.pop((viewing, number), None)
+        for _ in range(2 if remote else 0):
+            with suppress(OSError, h11.ProtocolError, KeyError):
+                if self._call(streamer, "DELETE", remote.path, b"", CLOSE).status < 500:
+                    break
+        if wanted:
+            self.host.torn_down(self.clock(), viewing, number)
+
+    def _probe(self, streamer: Id) -> None:
+        began = self.clock()
+        how, load = Ending.PLAYED, None
+        try:
+            target = self.targets["whep"].format(title="-", rung=0)
+            load = read_load(self._call(streamer, "OPTIONS", target, b"", 0.5).header(HEADER))
+        except TimeoutError:
+            how = Ending.TIMED_OUT
+        except (OSError, h11.ProtocolError, KeyError):
+            how = Ending.UNREACHED
+        now = self.clock()
+        self.host.probed(now, streamer, how, now - began, load)
+
+    def forward(self, remote: Remote, method: str, headers: list[tuple[str, str]], body: bytes) -> Reply:
+        """A client's PATCH to its session's streamer; raises OSError, h11.ProtocolError or KeyError."""
+        return self._call(remote.streamer, method, remote.path, body, 3.0, headers)
+
+    def _call(
+        self, streamer: Id, method: str, target: str, body: bytes, time_out: float, headers=()
+    ) -> Reply:
+        pool = self._pool(self.addresses[streamer])
+        return pool.call(method, target, [*self._headers(), *headers], body, time_out)
+
+    def _pool(self, address: Address) -> Pool:
+        if address not in self.pools:
+            self.pools[address] = Pool(address, self.connect)
+        return self.pools[address]
+
+    # Event streams: one for each address that streamers name, shared by the viewings that name it.
+
+    def _follow(self, remote: Remote) -> None:
+        key = remote.streamer, remote.events
+        if remote.events and key not in self.followers:
+            self.followers[key] = Follower(
+                self, remote.streamer, self.addresses[remote.streamer], remote.events
+            )
+
+    def _unfollow(self, remote: Remote) -> None:
+        key = remote.streamer, remote.events
+        if not any(
+            s.remote and (s.remote.streamer, s.remote.events) == key for s in self.sessions.values()
+        ) and (follower := self.followers.pop(key, None)):
+            follower.stop()
+
+    def ended_at(self, streamer: Id, resource: str, how: Ending) -> None:
+        """A streamer says that one of its sessions ended."""
+        for (viewing, number), remote in list(self.remotes.items()):
+            if remote.streamer == streamer and remote.path == resource:
+                del self.remotes[viewing, number]
+                self.host.ended(self.clock(), viewing, number, how)
+
+    def lost(self, streamer: Id, cause: str) -> None:
+        """A streamer's process is gone, and all that it played with it."""
+        held = self.host.held(streamer)
+        log.warning("streamer lost", streamer=streamer, viewings=len(held), cause=cause)
+        for viewing, number in held:
+            self.remotes.pop((viewing, number), None)
+            self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
+
+    def close(self) -> None:
+        for follower in self.followers.values():
+            follower.stop()
+        for pool in self.pools.values():
+            pool.close()
--- /dev/null
+++ b/herongap/host/__init__.py
@@ -0,0 +1,28 @@
+"""The library: one controller hosted, without sockets, clock, greenlets or global state.
+
+`Host` takes inputs with their times, pulls the module's decisions until none is left, and lets them out
+through a `Port`. It owns the life of each viewing from its request to its one outcome and its end. A
+`Recorder` writes every input and decision; `replay` runs such a record through the library alone.
+"""
+
+from herongap.host.host import Host
+from herongap.host.life import Answer, Life, State
+from herongap.host.port import Port
+from herongap.host.record import Recorder, Torn, read
+from herongap.host.repeats import Again, Repeats
+from herongap.host.replay import Difference, replay
+
+__all__ = [
+    "Again",
+    "Answer",
+    "Difference",
+    "Host",
+    "Life",
+    "Port",
+    "Recorder",
+    "Repeats",
+    "State",
+    "Torn",
+    "read",
+    "replay",
+]
--- /dev/null
+++ b/herongap/host/host.py
@@ -0,0 +1,283 @@
+"""The host of one deciding module: inputs with times in, effects out through a port.
+
+Each input is noted, told to the module, and followed by all decisions that come of it. Time-outs belong to
+the host, so that they fall at the time of an input and are the same in a replay; whatever is due by the time
+of an input comes before it.
+"""
+
+from collections.abc import Callable, Iterable
+from heapq import heappop, heappush
+
+from herongap.host.life import Answer, Life, State
+from herongap.host.port import Id, Port
+from herongap.host.record import Recorder
+from herongap.interface import Asked, Charter, Ending, Listed, Load, Standing
+from herongap.rules import Controller
+
+TEAR_DOWN = 2.0  # seconds that a streamer has to confirm a teardown before the viewing counts as gone anyway
+
+
+class Host:
+    """One controller: its module, the viewings it answers for, and their due times.
+
+    `seed` and `charter` are the module's. `make` builds the deciding module from (now, seed, charter);
+    baselines and broken controllers of the tests put others in its place.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        seed: int,
+        charter: Charter,
+        port: Port,
+        recorder: Recorder | None = None,
+        make: Callable = Controller,
+    ):
+        self.port, self.recorder = port, recorder
+        self.lives: dict[Id, Life] = {}
+        self.standing: dict[Id, Standing] = {}
+        self.counts = dict.fromkeys(("asked", "plays", "blocked", "aborted", "gone", "tune_ins", "late"), 0)
+        self._due: list[tuple] = []
+        self._armed = float("inf")
+        if recorder:
+            recorder.start(now, seed, charter)
+        self.module = make(now, seed, charter)
+        self._pump(now)
+
+    # Inputs: what the world did. Each is one line of the record.
+
+    def listed(self, now: float, kind: str, lines: Iterable[Listed]) -> None:
+        """A list of streamers, `kind` "changes", "whole", "remembered" or (without lines) "failed"."""
+        lines = tuple(lines)
+        self._enter(now, "listed", kind, lines)
+        if kind in ("whole", "remembered"):
+            self.standing = {}
+        for line in lines:
+            self.standing[line.streamer] = line.standing
+        self.module.listed(now, kind, lines)
+        self._pump(now)
+
+    def asked(self, now: float, ask: Asked) -> Life:
+        """A viewer wants a viewing, and will wait `ask.left` seconds; the port's `answer` follows once."""
+        self._enter(now, "asked", ask)
+        if ask.viewing in self.lives:
+            raise ValueError(f"viewing {ask.viewing} is held already")
+        life = self.lives[ask.viewing] = Life(ask, now)
+        self.counts["asked"] += 1
+        self.module.asked(now, ask)
+        self._pump(now)
+        return life
+
+    def started(self, now: float, viewing: Id, number: int, streamer: Id, load: Load | None) -> bool:
+        """A streamer started a tune-in; False where that came too late, and it is torn down there."""
+        self._enter(now, "started", viewing, number, streamer, load)
+        life = self._current(viewing, number, State.OUT)
+        if life is None:
+            # Its time-out, its viewer's leaving or its patience came first. Left alone it would hold a place
+            # and play to nobody beside the tune-in that followed it.
+            self.counts["late"] += 1
+            self.port.tear_down(viewing, number, streamer, False)
+            self._pump(now)
+            return False
+        life.move(State.PLAYING)
+        self.module.started(now, viewing, number, streamer, now - life.sent_at)
+        self._loaded(now, viewing, streamer, load)
+        self._conclude(viewing, life, Answer("plays"))
+        self._pump(now)
+        return True
+
+    def ended(self, now: float, viewing: Id, number: int, how: Ending, load: Load | None = None) -> None:
+        """A tune-in that was out, or the viewing that it started, ended; what is over already is passed
+        over.
+        """
+        self._enter(now, "ended", viewing, number, how, load)
+        if life := self._current(viewing, number, State.OUT, State.PLAYING, State.CLOSING):
+            self._end(now, viewing, life, how, load)
+        self._pump(now)
+
+    def left(self, now: float, viewing: Id) -> None:
+        """The viewer went, or ended the viewing; what is over already is passed over."""
+        self._enter(now, "left", viewing)
+        life = self.lives.get(viewing)
+        if life and life.state is State.WAITING:
+            self.module.left(now, viewing)
+            self._finish(viewing, life, Answer("gone", cause=life.cause))
+        elif life and life.state is State.OUT:
+            self.module.left(now, viewing)
+            self.port.call_off(viewing, life.number, life.streamer)
+            self._tell_end(now, viewing, life, Ending.CALLED_OFF, True, None)
+            self._finish(viewing, life, Answer("gone", cause=life.cause))
+        elif life and life.state is State.PLAYING:
+            self._close(now, viewing, life)
+        self._pump(now)
+
+    def torn_down(self, now: float, viewing: Id, number: int) -> None:
+        """A streamer confirmed a teardown that was asked of it."""
+        self._enter(now, "torn_down", viewing, number)
+        if life := self._current(viewing, number, State.CLOSING):
+            self._end(now, viewing, life, Ending.PLAYED, None)
+        self._pump(now)
+
+    def share_told(self, now: float, streamer: Id, share: float) -> None:
+        """A streamer delivers this share of what is asked of it, 0 to 1."""
+        self._enter(now, "share_told", streamer, share)
+        if streamer in self.module.streamers:
+            self.module.share_told(now, streamer, share)
+        self._pump(now)
+
+    def load_told(self, now: float, streamer: Id, uplink: bool, viewing: Id | None, ratio: float) -> None:
+        """A streamer told what is asked of its link (or its rack's uplink) over what that gives."""
+        self._enter(now, "load_told", streamer, uplink, viewing, ratio)
+        if streamer in self.module.streamers:
+            self.module.load_told(now, streamer, uplink, viewing, ratio)
+        self._pump(now)
+
+    def probed(self, now: float, streamer: Id, how: Ending, taken: float, load: Load | None) -> None:
+        """What came of a probe, PLAYED where it was answered."""
+        self._enter(now, "probed", streamer, how, taken, load)
+        if streamer in self.module.streamers:
+            self.module.probed(now, streamer, how, taken, load)
+        self._pump(now)
+
+    def heard(self, now: float, peer: int, words: bytes) -> None:
+        """A message of another controller."""
+        self._enter(now, "heard", peer, words)
+        self.module.heard(now, peer, words)
+        self._pump(now)
+
+    def woke(self, now: float) -> None:
+        """The time of a `wake` has come."""
+        self._enter(now, "woke")
+        self._pump(now)
+
+    # Questions: they change nothing and are in no record.
+
+    def sendable(self, viewing: Id, number: int) -> bool:
+        """Whether a tune-in may still leave, asked just before it does.
+
+        Between the decision and the moment its connection stands, its streamer's drain may have been heard,
+        its viewer may have left, or its time may be up.
+        """
+        life = self._current(viewing, number, State.OUT)
+        return life is not None and self.standing.get(life.streamer) is Standing.ACTIVE
+
+    def held(self, streamer: Id) -> list[tuple[Id, int]]:
+        """The viewings playing at a streamer, with the numbers of their tune-ins."""
+        return [
+            (vw, life.number)
+            for vw, life in self.lives.items()
+            if life.streamer == streamer and life.state is State.PLAYING
+        ]
+
+    # Inside.
+
+    def _enter(self, now: float, name: str, *args) -> None:
+        if self.recorder:
+            self.recorder.input(now, name, args)
+        self._run_due(now)
+
+    def _run_due(self, now: float) -> None:
+        while self._due and self._due[0][0] <= now:
+            _, what, viewing, number = heappop(self._due)
+            if what == "wake":
+                self.module.woke(now)
+            elif what == "time_out" and (life := self._current(viewing, number, State.OUT)):
+                self.port.call_off(viewing, number, life.streamer)
+                self._end(now, viewing, life, Ending.TIMED_OUT, None)
+            elif what == "torn_down" and (life := self._current(viewing, number, State.CLOSING)):
+                self._end(now, viewing, life, Ending.PLAYED, None)
+            self._pull(now)
+
+    def _pump(self, now: float) -> None:
+        self._pull(now)
+        due = self._due[0][0] if self._due else float("inf")
+        if due != self._armed and due < float("inf"):
+            self._armed = due
+            self.port.wake(due)
+
+    def _pull(self, now: float) -> None:
+        while (decision := self.module.decide(now)) is not None:
+            if self.recorder:
+                self.recorder.decision(decision)
+            self._act(now, *decision)
+
+    def _act(self, now: float, verb: str, *rest) -> None:
+        match verb, rest:
+            case "wake", (at,):
+                heappush(self._due, (at, "wake", "", 0))
+            case "tune_in", (viewing, streamer, time_out):
+                life = self.lives[viewing]
+                life.move(State.OUT)
+                life.tune_ins += 1
+                life.streamer, life.sent_at = streamer, now
+                self.counts["tune_ins"] += 1
+                heappush(self._due, (now + time_out, "time_out", viewing, life.number))
+                self.port.tune_in(life.ask, life.number, streamer, life.rung, time_out)
+            case "rung", (viewing, rung):
+                life = self.lives[viewing]
+                life.rung = rung
+                if life.state is State.PLAYING:
+                    self.port.set_rung(viewing, life.number, life.streamer, rung)
+            case "block", (viewing, come_back):
+                life = self.lives[viewing]
+                self._finish(viewing, life, Answer("blocked", come_back, life.cause))
+            case "abort", (viewing,):
+                life = self.lives[viewing]
+                self._finish(viewing, life, Answer("aborted", cause=life.cause))
+            case "call_off", (viewing, number):
+                if life := self._current(viewing, number, State.OUT):
+                    self.port.call_off(viewing, number, life.streamer)
+                    self._end(now, viewing, life, Ending.CALLED_OFF, None)
+            case "move", (viewing,):
+                self._close(now, viewing, self.lives[viewing])
+            case "probe", (streamer,):
+                self.port.probe(streamer)
+            case "follow", ():
+                self.port.follow()
+            case "tell", (peer, words):
+                self.port.tell(peer, words)
+            case _:
+                raise ValueError(f"the module decided {verb!r}, which no host knows")
+
+    def _current(self, viewing: Id, number: int, *states: State) -> Life | None:
+        life = self.lives.get(viewing)
+        return life if life and life.number == number and life.state in states else None
+
+    def _close(self, now: float, viewing: Id, life: Life) -> None:
+        # The seat is free when the streamer has let go, not before: told sooner, the module could put another
+        # viewing on that seat while the streamer still plays the first.
+        life.move(State.CLOSING)
+        heappush(self._due, (now + TEAR_DOWN, "torn_down", viewing, life.number))
+        self.port.tear_down(viewing, life.number, life.streamer, True)
+
+    def _end(self, now: float, viewing: Id, life: Life, how: Ending, load: Load | None) -> None:
+        played = life.state is not State.OUT
+        self._tell_end(now, viewing, life, how, played, load)
+        if not played:
+            life.move(State.WAITING)
+            return
+        life.move(State.OVER)
+        del self.lives[viewing]
+        self.port.over(viewing, how)
+
+    def _tell_end(
+        self, now: float, viewing: Id, life: Life, how: Ending, closed: bool, load: Load | None
+    ) -> None:
+        life.cause = how
+        if life.streamer in self.module.streamers:
+            self.module.ended(now, viewing, life.number, life.streamer, how, now - life.sent_at, closed, load)
+
+    def _loaded(self, now: float, viewing: Id, streamer: Id, load: Load | None) -> None:
+        for uplink, ratio in ((False, load and load.link), (True, load and load.rack)):
+            if ratio is not None:
+                self.module.load_told(now, streamer, uplink, viewing, ratio)
+
+    def _conclude(self, viewing: Id, life: Life, answer: Answer) -> None:
+        life.conclude(answer)
+        self.counts[answer.verdict] += 1
+        self.port.answer(viewing, answer)
+
+    def _finish(self, viewing: Id, life: Life, answer: Answer) -> None:
+        life.move(State.OVER)
+        del self.lives[viewing]
+        self._conclude(viewing, life, answer)
--- /dev/null
+++ b/herongap/host/pulse.py
@@ -0,0 +1,46 @@
+"""Whether a streamer that plays viewings of ours still lives, told by its event stream. Decides without I/O.
+
+A stream that breaks may be a hiccup; one that cannot be had again means that the streamer's process is gone,
+and its viewings with it. A stream that stands but stays silent, heartbeats and all, is a streamer that hangs
+or is cut off: it is told to the module as delivering nothing, and after a longer while its viewings count as
+lost.
+"""
+
+from enum import Enum
+
+SILENT = 2.5  # seconds without a word, three heartbeats, after which it counts as delivering nothing
+LOST = 8.0  # seconds without a word after which its viewings are lost
+GONE = 1.5  # seconds for which a broken stream may fail to come back
+
+
+class Word(Enum):
+    """What the host is to be told."""
+
+    FINE = 1
+    SILENT = 2
+    LOST = 3
+
+
+class Pulse:
+    """The event stream of one streamer."""
+
+    def __init__(self, now: float):
+        self.heard, self.broken = now, None
+
+    def spoke(self, now: float) -> None:
+        """Bytes came on the stream."""
+        self.heard, self.broken = now, None
+
+    def broke(self, now: float, unknown: bool) -> bool:
+        """The stream broke, or could not be had; True if its viewings are lost.
+
+        `unknown` says that the streamer answered and knows nothing of the stream: it is a new process.
+        """
+        if self.broken is None:
+            self.broken = now
+        return unknown or now - self.broken >= GONE
+
+    def word(self, now: float) -> Word:
+        """What is to be told now; asked about once a second."""
+        quiet = now - self.heard
+        return Word.LOST if quiet >= LOST else Word.SILENT if quiet >= SILENT else Word.FINE
--- /dev/null
+++ b/herongap/http.py
@@ -0,0 +1,147 @@
+"""HTTP messages as plain values, and the headers that WHIP, WHEP and their neighbours share. No I/O."""
+
+import json
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+from urllib.parse import parse_qs, unquote, urlsplit
+
+# One stable `type` (RFC 9457) for each cause that a client may meet: its status and title.
+PROBLEMS = {
+    "bad-request": (400, "The request cannot be read"),
+    "bad-sdp": (400, "The session description cannot be used"),
+    "bad-fragment": (400, "The ICE fragment cannot be used"),
+    "no-credentials": (401, "A bearer token is needed"),
+    "bad-credentials": (401, "The bearer token is not known here"),
+    "not-allowed": (403, "The token does not cover this request"),
+    "no-such-title": (404, "No such title"),
+    "no-such-session": (404, "No such session, or it has ended"),
+    "no-such-page": (404, "Nothing is served at this address"),
+    "bad-method": (405, "The method is not served here"),
+    "slow-request": (408, "The request came too slowly"),
+    "session-over": (409, "The session of this offer has ended; make a new offer"),
+    "stale-tag": (412, "The ICE session that If-Match names is not the present one"),
+    "too-large": (413, "The body is larger than is taken"),
+    "bad-type": (415, "The body's media type is not taken"),
+    "offer-refused": (422, "The streamer cannot take this offer"),
+    "key-reused": (422, "The Idempotency-Key was used for another offer"),
+    "tag-needed": (428, "If-Match is needed here"),
+    "too-fast": (429, "This peer asks too fast"),
+    "header-too-large": (431, "The header is larger than is taken"),
+    "internal": (500, "The front failed"),
+    "not-served": (501, "This feature is not served"),
+    "aborted": (502, "The session could not be set up"),
+    "streamer-lost": (502, "The streamer of this session does not answer"),
+    "blocked": (503, "No room for this session now"),
+    "overloaded": (503, "This front takes no more sessions now"),
+    "stopping": (503, "This front is stopping"),
+}
+URN = "urn:herongap:problem:"
+PROBLEM_JSON, SDP, FRAGMENT = "application/problem+json", "application/sdp", "application/trickle-ice-sdpfrag"
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that has been read whole. Header names are in lower case; repeated ones joined by commas."""
+
+    method: str
+    target: str
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    peer: str = ""
+
+    @property
+    def path(self) -> list[str]:
+        """The path's segments, decoded one by one, so that an escaped slash stays inside its own."""
+        return [unquote(part) for part in urlsplit(self.target).path.split("/")[1:]]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """The query's keys, the last of each."""
+        return {k: v[-1] for k, v in parse_qs(urlsplit(self.target).query, keep_blank_values=True).items()}
+
+    @property
+    def media_type(self) -> str:
+        return self.headers.get("content-type", "").partition(";")[0].strip().lower()
+
+
+class Reply(NamedTuple):
+    """A reply; `body` may be an iterable of chunks, which are sent as they come."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | Iterable[bytes] = b""
+
+    def header(self, name: str) -> str | None:
+        return next((value for key, value in self.headers if key.lower() == name.lower()), None)
+
+
+def problem(kind: str, detail: str = "", headers: Iterable[tuple[str, str]] = (), **more) -> Reply:
+    """An error in `application/problem+json`; `kind` is a key of PROBLEMS."""
+    status, title = PROBLEMS[kind]
+    body = {
+        "type": URN + kind,
+        "title": title,
+        "status": status,
+        **({"detail": detail} if detail else {}),
+        **more,
+    }
+    return Reply(status, (("Content-Type", PROBLEM_JSON), *headers), json.dumps(body).encode())
+
+
+def kind_of(body: bytes) -> str:
+    """The cause that a problem document names, "" where it is none of ours."""
+    try:
+        named = json.loads(body).get("type", "")
+    except (ValueError, AttributeError):
+        return ""
+    return named.removeprefix(URN) if isinstance(named, str) else ""
+
+
+class Target(NamedTuple):
+    """One target of a Link header (RFC 8288)."""
+
+    url: str
+    rel: str
+    params: dict[str, str]
+
+
+_LINK = re.compile(r'<([^<>"]*)>((?:\s*;\s*[\w*-]+\s*(?:=\s*(?:"[^"]*"|[^",;\s]+))?)*)\s*(?:,|$)')
+_PARAM = re.compile(r';\s*([\w*-]+)\s*(?:=\s*(?:"([^"]*)"|([^",;\s]+)))?')
+
+
+def read_links(value: str) -> list[Target]:
+    """The targets of a Link header; what cannot be read is passed over, as RFC 8288 asks."""
+    found = []
+    for match in _LINK.finditer(value):
+        params = {name.lower(): quoted or bare for name, quoted, bare in _PARAM.findall(match[2])}
+        found += [Target(match[1], rel, params) for rel in params.pop("rel", "").split()]
+    return found
+
+
+def link(url: str, rel: str, **params: str) -> tuple[str, str]:
+    """A Link header with one target."""
+    more = "".join(f'; {name}="{value}"' for name, value in params.items())
+    return "Link", f'<{url}>; rel="{rel}"{more}'
+
+
+def bearer(request: Request) -> str | None:
+    """The token of an `Authorization: Bearer` header (RFC 6750), None without one."""
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    return token.strip() or None if scheme.lower() == "bearer" else None
+
+
+def tag_matches(request: Request, tag: str) -> bool:
+    """Whether If-Match (RFC 9110, 13.1.1; strong comparison) names this entity tag."""
+    given = [part.strip() for part in request.headers.get("if-match", "").split(",")]
+    return "*" in given or tag in given
+
+
+def wait_preferred(request: Request) -> float | None:
+    """The seconds of `Prefer: wait` (RFC 7240, 4.3), by which a client tells how long it will wait."""
+    for part in request.headers.get("prefer", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.strip().lower() == "wait" and re.fullmatch(r"\d{1,4}(\.\d{1,3})?", value.strip().strip('"')):
+            return float(value.strip().strip('"'))
+    return None
--- /dev/null
+++ b/herongap/ini/files.py
@@ -0,0 +1,78 @@
+"""The list of streamers and the catalogue as JSON files, re-read when they change. Parsing alone, no
+decisions.
+"""
+
+from collections.abc import Collection
+from typing import Annotated, Literal
+from urllib.parse import urlsplit
+
+import msgspec
+
+from herongap.interface import Listed, Standing
+
+
+class Entry(msgspec.Struct, forbid_unknown_fields=True):
+    """A streamer. `started` is seconds since the epoch, absent when it has run for long; cell and rack
+    default to the streamer's own."""
+
+    id: Annotated[str, msgspec.Meta(min_length=1)]
+    url: str
+    zone: str = ""
+    kind: str = "std"
+    cell: str = ""
+    rack: str = ""
+    standing: Literal["active", "leaving", "left"] = "active"
+    weight: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    started: float | None = None
+
+
+class List(msgspec.Struct, forbid_unknown_fields=True):
+    streamers: list[Entry]
+
+
+class Catalogue(msgspec.Struct, forbid_unknown_fields=True):
+    """Which streamers hold a title; the title "*" stands for all that are not named."""
+
+    titles: dict[str, list[str]]
+
+    def holders(self, title: str) -> Collection[str] | None:
+        """The streamers that hold a title, None if it is unknown."""
+        named = self.titles.get(title)
+        return self.titles.get("*") if named is None else named
+
+
+def read_list(data: bytes, epoch: float) -> tuple[tuple[Listed, ...], dict[str, tuple[str, int]]]:
+    """The lines of a list and each streamer's address; `epoch` is the host's clock at the epoch's zero.
+
+    Raises ValueError, and takes nothing, if any entry is bad: half a list would look like streamers that
+    left.
+    """
+    entries = msgspec.json.decode(data, type=List).streamers
+    lines, addresses = [], {}
+    for e in entries:
+        parts = urlsplit(e.url)
+        if parts.scheme != "http" or not parts.hostname or not parts.port:
+            raise ValueError(f"streamer {e.id}: url {e.url!r} is not http://HOST:PORT")
+        if e.id in addresses:
+            raise ValueError(f"streamer {e.id} is listed twice")
+        addresses[e.id] = parts.hostname, parts.port
+        started = None if e.started is None else e.started + epoch
+        lines.append(
+            Listed(
+                e.id,
+                e.zone,
+                e.kind,
+                e.id,
+                e.cell or e.id,
+                e.rack or e.id,
+                Standing[e.standing.upper()],
+                e.weight,
+                started,
+            )
+        )
+    return tuple(lines), addresses
+
+
+def read_catalogue(data: bytes) -> Catalogue:
+    """Raises ValueError."""
+    return msgspec.json.decode(data, type=Catalogue)
--- /dev/null
+++ b/herongap/ini/site.py
@@ -0,0 +1,336 @@
+"""One front's INI file: each value checked, every error told at once with section, key, value and what is
+allowed.
+"""
+
+import configparser
+from pathlib import Path
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import AfterValidator, BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+
+from herongap.intake import Bounds
+from herongap.interface import Charter, Group, Package, Repeat
+
+Seconds = Annotated[float, Field(ge=0, le=86400)]
+Share = Annotated[float, Field(ge=0, le=1)]
+Rate = Annotated[float, Field(gt=0, le=1e9)]
+
+
+def _split(value):
+    return [part.strip() for part in value.split(",") if part.strip()] if isinstance(value, str) else value
+
+
+def _rising(value: list[float]) -> list[float]:
+    if any(b < a for a, b in zip(value, value[1:], strict=False)):
+        raise ValueError("values must not fall from one rung to the next")
+    return value
+
+
+def _address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError("HOST:PORT is needed, port 0 for any free one")
+    return value
+
+
+Words = Annotated[list[str], BeforeValidator(_split)]
+Figures = Annotated[list[Rate], BeforeValidator(_split), AfterValidator(_rising)]
+
+
+class Part(BaseModel):
+    """A section of the file. Unknown keys are errors: a misspelt one would silently do nothing."""
+
+    model_config = ConfigDict(extra="forbid")
+
+
+class Front(Part):
+    listen: Annotated[str, AfterValidator(_address)] = "127.0.0.1:8080"
+    number: Annotated[int, Field(ge=0)] = 0
+    controllers: Annotated[int, Field(ge=1, le=100000)] = 1
+    zone: str = ""
+    seed: Annotated[int, Field(ge=0)] = 1
+    answer_ahead: Seconds = 0.05
+    linger: Seconds = 1.0
+    remember: Seconds = 60.0
+    record: str = ""
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    log_format: Literal["json", "console"] = "console"
+    log_to: str = "-"
+    stop_within: Seconds = 10.0
+    ice_servers: Words = []
+
+
+class Ladder(Part):
+    rates: Figures
+    values: Annotated[list[Share], BeforeValidator(_split), AfterValidator(_rising)]
+
+
+class PackageTerms(Part):
+    protocol: Literal["whep", "whip"] = "whep"
+    default: bool = False
+    join_target: Annotated[float, Field(gt=0, le=600)]
+    patience: Annotated[float, Field(gt=0, le=600)]
+    value: Annotated[float, Field(gt=0)] = 1.0
+    repeat: Literal["harmless", "in_group", "harmful"] = "harmless"
+    group: Literal["all", "zone", "cell"] = "all"
+    repeat_window: Seconds = 5.0
+    scale: Rate = 1.0
+    floor: Annotated[int, Field(ge=0)] = 0
+    top: Annotated[int, Field(ge=0)] = 99
+    seats: Annotated[int, Field(ge=0)] = 0
+    live: bool = False
+
+
+class Links(Part):
+    per_weight: Rate
+    rack: Rate
+    told_late: Seconds = 0.5
+    full_from: Annotated[float, Field(ge=0, le=10)] = 0.0
+    join_adds: Share = 1.0
+    over_share: Share = 1.0
+
+
+class TuneIns(Part):
+    most: Annotated[int, Field(ge=1, le=20)] = 4
+    probes: bool = False
+    come_back: Seconds = 0.5
+    connect: Annotated[float, Field(gt=0, le=60)] = 0.25
+
+
+class Cold(Part):
+    warm_up: Seconds = 10.0
+    start: Annotated[float, Field(gt=0, le=1)] = 0.4
+    fall_multiple: Annotated[float, Field(gt=0)] = 2.5
+
+
+class Budget(Part):
+    free: Annotated[float, Field(ge=0)]
+    share: Share
+    window: Annotated[float, Field(gt=0, le=3600)]
+
+
+class Streamers(Part):
+    list: str
+    whep: str = "/whep/{title}?layer={rung}"
+    whip: str = "/whip/{title}?layer={rung}"
+    look: Annotated[float, Field(gt=0, le=60)] = 0.2
+
+
+class CatalogueFile(Part):
+    file: str
+
+
+class Token(Part):
+    secret: Annotated[str, Field(min_length=8)]
+    member: str = ""
+    packages: Words = []
+
+
+class Limits(Part):
+    """The keys are those of `herongap.intake.Bounds`."""
+
+    connections: Annotated[int, Field(ge=1)] = Bounds().connections
+    connections_a_peer: Annotated[int, Field(ge=1)] = Bounds().connections_a_peer
+    setting_up: Annotated[int, Field(ge=1)] = Bounds().setting_up
+    held: Annotated[int, Field(ge=1)] = Bounds().held
+    pace: Rate = Bounds().pace
+    burst: Annotated[float, Field(ge=1)] = Bounds().burst
+    header: Annotated[int, Field(ge=1024)] = Bounds().header
+    body: Annotated[int, Field(ge=1024)] = Bounds().body
+    header_seconds: Annotated[float, Field(gt=0)] = Bounds().header_seconds
+    body_seconds: Annotated[float, Field(gt=0)] = Bounds().body_seconds
+    idle_seconds: Annotated[float, Field(gt=0)] = Bounds().idle_seconds
+    write_seconds: Annotated[float, Field(gt=0)] = Bounds().write_seconds
+    lag: Annotated[float, Field(gt=0)] = Bounds().lag
+
+
+ONCE = {
+    "front": Front,
+    "ladder": Ladder,
+    "links": Links,
+    "tune_ins": TuneIns,
+    "cold": Cold,
+    "budget": Budget,
+    "streamers": Streamers,
+    "catalogue": CatalogueFile,
+    "limits": Limits,
+}
+NAMED = {"package": PackageTerms, "token": Token}
+OPTIONAL = {"front", "tune_ins", "cold", "budget", "limits"}
+
+
+class Faults(ValueError):
+    """All that is wrong with a file, a line each."""
+
+
+class Site(NamedTuple):
+    """What a front is started with. `protocols` gives each package's; `defaults` each protocol's package."""
+
+    front: Front
+    charter: Charter
+    patience: dict[str, float]
+    protocols: dict[str, str]
+    defaults: dict[str, str]
+    tokens: dict[str, Token]
+    streamers: Streamers
+    catalogue: CatalogueFile
+    connect: float
+    bounds: Bounds
+
+
+def read_site(path: Path) -> Site:
+    """Read and check a front's file; relative paths in it are taken from its folder. Raises Faults."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    parser.optionxform = str
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as fault:
+        raise Faults(f"{path}: {fault}") from fault
+    faults: list[str] = []
+    parts: dict[str, Part] = {}
+    named: dict[str, dict[str, Part]] = {kind: {} for kind in NAMED}
+    places: dict[str, int] = {}
+    for section in parser.sections():
+        values = dict(parser[section])
+        kind, _, name = section.partition(" ")
+        if section == "places":
+            places = _places(values, faults)
+        elif section in ONCE:
+            parts[section] = _part(section, ONCE[section], values, faults)
+        elif kind in NAMED and name.strip():
+            named[kind][name.strip()] = _part(section, NAMED[kind], values, faults)
+        else:
+            known = ", ".join([*ONCE, "places", *(f"{kind} NAME" for kind in NAMED)])
+            faults.append(f"[{section}]: unknown section; allowed: {known}")
+    for section, model in ONCE.items():
+        if section not in parts and section not in OPTIONAL:
+            faults.append(f"[{section}]: missing; needed keys: {', '.join(_needed(model))}")
+        elif section not in parts and section != "budget":
+            parts[section] = model()
+    if not named["package"]:
+        faults.append("[package NAME]: at least one package is needed")
+    if not faults:
+        _cross(parts, named, faults)
+    if faults:
+        raise Faults("\n".join(f"{path}: {fault}" for fault in faults))
+    return _site(path, parts, named, places)
+
+
+def _needed(model: type[Part]) -> list[str]:
+    return [name for name, f in model.model_fields.items() if f.is_required()]
+
+
+def _part(section: str, model: type[Part], values: dict[str, str], faults: list[str]) -> Part | None:
+    try:
+        return model.model_validate(values)
+    except ValidationError as fault:
+        for error in fault.errors():
+            key = str(error["loc"][0])
+            if error["type"] == "missing":
+                faults.append(f"[{section}] {key}: missing")
+            elif error["type"] == "extra_forbidden":
+                known = ", ".join(model.model_fields)
+                faults.append(f"[{section}] {key} = {values[key]}: unknown key; allowed: {known}")
+            else:
+                faults.append(f"[{section}] {key} = {values.get(key)}: {error['msg']}")
+        return None
+
+
+def _places(values: dict[str, str], faults: list[str]) -> dict[str, int]:
+    places = {}
+    for kind, value in values.items():
+        if not value.isdigit() or not int(value):
+            faults.append(f"[places] {kind} = {value}: a whole number of viewings above 0 is allowed")
+        else:
+            places[kind] = int(value)
+    return places
+
+
+def _cross(parts: dict, named: dict, faults: list[str]) -> None:
+    rungs = len(parts["ladder"].rates)
+    if len(parts["ladder"].values) != rungs:
+        faults.append(f"[ladder] values: {rungs} are needed, one for each rate")
+    if parts["front"].number >= parts["front"].controllers:
+        faults.append(f"[front] number = {parts['front'].number}: must be under controllers")
+    for name, p in named["package"].items():
+        if p.floor >= rungs or p.floor > p.top:
+            faults.append(
+                f"[package {name}] floor = {p.floor}: must be a rung (0 to {rungs - 1}) not above top"
+            )
+        if p.join_target > p.patience:
+            faults.append(f"[package {name}] join_target = {p.join_target}: must not exceed patience")
+    for protocol in ("whep", "whip"):
+        several = [n for n, p in named["package"].items() if p.protocol == protocol and p.default]
+        if len(several) > 1:
+            faults.append(
+                f"[package {several[1]}] default = yes: [package {several[0]}] is the default already"
+            )
+    for name, token in named["token"].items():
+        for package in token.packages:
+            if package not in named["package"]:
+                faults.append(f"[token {name}] packages: no [package {package}] in this file")
+
+
+def _site(path: Path, parts: dict, named: dict, places: dict[str, int]) -> Site:
+    front, ladder, links = parts["front"], parts["ladder"], parts["links"]
+    tune_ins, cold, budget = parts["tune_ins"], parts["cold"], parts.get("budget")
+    top = len(ladder.rates) - 1
+    packages = tuple(
+        Package(
+            name,
+            p.join_target,
+            p.value,
+            Repeat[p.repeat.upper()],
+            Group[p.group.upper()],
+            p.repeat_window,
+            p.scale,
+            p.floor,
+            min(p.top, top),
+            p.seats,
+            p.live,
+        )
+        for name, p in named["package"].items()
+    )
+    charter = Charter(
+        me=front.number,
+        zone=front.zone,
+        controllers=front.controllers,
+        over_share=links.over_share,
+        packages=packages,
+        ladder=tuple(ladder.rates),
+        worths=tuple(ladder.values),
+        join_adds=links.join_adds,
+        link_per_weight=links.per_weight,
+        rack_link=links.rack,
+        places=places,
+        full_from=links.full_from,
+        told_late=links.told_late,
+        tune_ins=tune_ins.most,
+        probes=tune_ins.probes,
+        come_back=tune_ins.come_back,
+        must_follow=False,
+        warm_up=cold.warm_up,
+        cold_start=cold.start,
+        fall_multiple=cold.fall_multiple,
+        extra_free=budget.free if budget else None,
+        extra_share=budget.share if budget else 0.0,
+        extra_window=budget.window if budget else 0.0,
+    )
+    defaults = {}
+    for name, p in named["package"].items():
+        if p.default or p.protocol not in defaults:
+            defaults[p.protocol] = name
+    near = path.resolve().parent
+    return Site(
+        front=front,
+        charter=charter,
+        patience={name: p.patience for name, p in named["package"].items()},
+        protocols={name: p.protocol for name, p in named["package"].items()},
+        defaults=defaults,
+        tokens=named["token"],
+        streamers=parts["streamers"].model_copy(update={"list": str(near / parts["streamers"].list)}),
+        catalogue=parts["catalogue"].model_copy(update={"file": str(near / parts["catalogue"].file)}),
+        connect=tune_ins.connect,
+        bounds=Bounds(**parts["limits"].model_dump()),
+    )
--- /dev/null
+++ b/herongap/standins/__init__.py
@@ -0,0 +1,9 @@
+"""Stand-ins on loopback: streamers that speak WHIP and WHEP, scripted viewers and publishers. No media
+flows.
+"""
+
+from herongap.standins.farm import Farm, Kind
+from herongap.standins.streamer import Streamer
+from herongap.standins.viewer import Tried, Viewer
+
+__all__ = ["Farm", "Kind", "Streamer", "Tried", "Viewer"]
--- /dev/null
+++ b/herongap/standins/streamer.py
@@ -0,0 +1,393 @@
+"""One stand-in streamer: WHIP and WHEP resources, layers, event stream, load, and faults set while it
+runs.
+"""
+
+import json
+from contextlib import suppress
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.queue import Empty, Queue
+
+from herongap.daemon.wire import Hung, Peer, Server, listen
+from herongap.http import SDP, Reply, Request, link, problem
+from herongap.intake import Bounds
+from herongap.interface import Load
+from herongap.orca import HEADER, write_load
+from herongap.sdp import BadSdp, Endpoint, answer
+from herongap.standins import stun
+from herongap.whep import read_layer, write_event
+from herongap.whep.events import HEARTBEAT
+from herongap.whip import EVENTS, LAYERS, Resource, check_offer, created
+
+BEAT = 0.8  # seconds between heartbeats of an event stream
+FINGERPRINT = ":".join(["5E"] * 32)
+
+
+class Session:
+    """One session at this streamer, and what its viewer got of it."""
+
+    def __init__(
+        self, name: str, identity: str, title: str, rung: int, front: str, resource: Resource, now: float
+    ):
+        self.name, self.identity, self.title, self.rung, self.front = name, identity, title, rung, front
+        self.resource, self.began, self.consent = resource, now, None
+        self.seconds = self.earned = 0.0
+
+
+class Streamer:
+    """Listens on loopback; `titles` names what it holds, None for everything."""
+
+    def __init__(
+        self,
+        farm,
+        name: str,
+        zone: str,
+        rack: str,
+        titles=None,
+        started: float | None = None,
+        address=("127.0.0.1", 0),
+    ):
+        self.farm, self.name, self.zone, self.rack, self.titles = farm, name, zone, rack, titles
+        self.kind, self.log, self.clock = farm.kind, farm.log, farm.clock
+        self.started, self.fallen, self.boot = started, False, 0
+        self.share, self.link_ratio, self.past = 1.0, 0.0, farm.past[name]
+        self.sessions: dict[str, Session] = {}
+        self.streams: dict[str, list[Queue]] = {}
+        self.faults: dict[str, dict] = {}
+        self.setting_up, self.set_ups, self.sag = 0, [], 1.0
+        self.count, self._short = 0, False
+        self.address = address
+        farm.add(self)
+        self.up()
+
+    # Its process.
+
+    def up(self) -> None:
+        """Start the process: listen for HTTP, and for consent on UDP of the same address."""
+        listener = listen(self.address)
+        self.address = listener.getsockname()
+        self.server = Server(listener, self.handle, Bounds(idle_seconds=120.0, body=1 << 20))
+        self.media = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.media.bind(("127.0.0.1", 0))
+        self.boot += 1
+        self.cut_off = Event()
+        self._greenlets = [gevent.spawn(self._consent), gevent.spawn(self._report)]
+        self.running = True
+        self.log(self.name, "up", boot=self.boot, cold=self.started is not None)
+
+    def die(self) -> None:
+        """The process ends: connections are reset, what it played is gone."""
+        if not self.running:
+            return
+        self.running = False
+        self.log(self.name, "down")
+        for session in list(self.sessions.values()):
+            self.end(session, "died", tell=False)
+        self.cut_off.set()
+        self.server.close()
+        self.media.close()
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+        self.streams.clear()
+        self.setting_up = 0
+
+    def order(self, order: dict) -> None:
+        """A fault begins or ends, or the process comes or goes."""
+        what = order["do"]
+        if what == "die":
+            self.die()
+        elif what == "start":
+            self.started, self.fallen = self.clock(), False
+            self.set_ups.clear()
+            if not self.running:
+                self.up()
+        elif what == "sag":
+            self.sag = order["to"]
+        elif what == "heal":
+            self.faults.clear()
+            self.sag = 1.0
+        elif what == "sound":
+            self.faults.pop(order["fault"], None)
+        else:
+            self.faults[what] = order
+
+    # Links and load.
+
+    def link_now(self, now: float) -> float:
+        return max(1.0, self.kind.link * self.sag * self.warmth(now))
+
+    def warmth(self, now: float) -> float:
+        if self.started is None:
+            return 1.0
+        k = self.kind
+        return min(1.0, k.cold_start + (1 - k.cold_start) * max(0.0, now - self.started) / k.warm_up)
+
+    def asked(self) -> float:
+        return sum(self.kind.ladder[s.rung] for s in self.sessions.values())
+
+    def play(self, now: float, passed: float) -> None:
+        """Account what each viewer got in the time just passed, and drop those that are no longer there."""
+        share = 0.0 if self._mute(None) else self.share
+        for s in list(self.sessions.values()):
+            late = s.consent if s.consent is not None else s.began - self.kind.consent + self.kind.join_wait
+            if now - late > self.kind.consent:
+                self.end(s, "viewer-gone")
+                continue
+            s.seconds += passed
+            value = self.kind.values[s.rung] - self.kind.stall * max(0.0, 0.98 - share)
+            s.earned += passed * max(0.0, value)
+
+    def load(self, late: float = 0.0) -> Load:
+        """Asked over given of link and uplink, as it was `late` seconds ago."""
+        now = self.clock()
+        for at, ratio, rack, _ in reversed(self.past):
+            if at <= now - late:
+                return Load(ratio, None, rack)
+        return Load(self.link_ratio, None, self.farm.asked.get(self.rack, 0.0))
+
+    # Faults.
+
+    def _mute(self, front: str | None) -> bool:
+        """Whether nothing of this streamer reaches that front (any front, for None)."""
+        if "silent" in self.faults or "hang" in self.faults:
+            return True
+        cut = self.faults.get("cut")
+        return bool(cut and front and any(front.startswith(name) for name in cut["fronts"]))
+
+    def _stand_still(self, peer: Peer, identity: str = "") -> None:
+        """Take and never answer, until the caller hangs up."""
+        peer.wait(self.cut_off, 600.0)
+        if identity:
+            self.log(self.name, "hung-up", identity=identity)
+        raise Hung
+
+    # HTTP.
+
+    def handle(self, request: Request, peer: Peer) -> Reply:
+        front = request.headers.get("via", "").split(" ")[-1]
+        path = request.path
+        if len(path) == 2 and path[0] in ("whip", "whep") and request.method == "POST":
+            return self._post(path[0], path[1], request, peer, front)
+        if self._mute(front):
+            self._stand_still(peer)
+        if request.method == "OPTIONS":
+            return Reply(200, (("Accept-Post", SDP), self._load_header()))
+        if path[0] == "events":
+            return self._events(path, request, peer)
+        session = self.sessions.get(path[1]) if path[0] == "r" and len(path) > 1 else None
+        if session is None:
+            return problem("no-such-session")
+        if len(path) == 3 and path[2] == "layer" and request.method == "POST":
+            return self._layer(session, request)
+        if request.method == "PATCH":
+            return session.resource.patch(request, self._endpoint(session.resource.restarts + 1))
+        if request.method == "DELETE":
+            self.log(self.name, "delete", identity=session.identity, session=session.name)
+            self.end(session, "deleted", tell=False)
+            return Reply(200)
+        return problem("bad-method")
+
+    def _post(self, protocol: str, title: str, request: Request, peer: Peer, front: str) -> Reply:
+        offer = check_offer(request, protocol)
+        if isinstance(offer, Reply):
+            return offer
+        identity = " ".join(offer.identity)
+        layer = request.query.get("layer", "0")
+        self.log(
+            self.name,
+            "post",
+            identity=identity,
+            front=front,
+            title=title,
+            rung=int(layer),
+            cold=self.warmth(self.clock()) < 1,
+        )
+        self._count_set_up()
+        if self._mute(front):
+            self._stand_still(peer, identity)
+        if self.titles is not None and title not in self.titles:
+            return self._refuse(identity, problem("no-such-title"))
+        self.setting_up += 1
+        try:
+            delay = self.farm.random.uniform(*self.kind.set_up)
+            if slow := self.faults.get("slow"):
+                delay += slow["by"]
+            if not self._pause(peer, delay, identity):
+                raise Hung
+            if (bad := self.faults.get("fail")) and self.farm.random.random() < bad.get("part", 1.0):
+                return self._refuse(identity, problem("internal"))
+            if self.fallen or not self.running:
+                return self._refuse(identity, problem("internal", "fell over"))
+            full = self.kind.full_from and self.link_ratio >= self.kind.full_from
+            if full or len(self.sessions) >= self.kind.places:
+                return self._refuse(identity, problem("blocked"), self._load_header())
+            return self._start(offer, identity, title, int(layer), front, protocol, peer)
+        finally:
+            self.setting_up -= 1
+
+    def _pause(self, peer: Peer, delay: float, identity: str) -> bool:
+        if peer.wait(self.cut_off, delay) or peer.gone:
+            self.log(self.name, "hung-up", identity=identity)
+            return False
+        return True
+
+    def _refuse(self, identity: str, reply: Reply, *headers) -> Reply:
+        self.log(self.name, "refused", identity=identity, status=reply.status)
+        return reply._replace(headers=(*reply.headers, *headers))
+
+    def _start(self, offer, identity, title, rung, front, protocol, peer) -> Reply:
+        self.count += 1
+        name = f"{self.boot}-{self.count}"
+        me = self._endpoint(0)
+        try:
+            text = answer(offer, me)
+        except BadSdp as fault:
+            return self._refuse(identity, problem("offer-refused", str(fault)))
+        resource = Resource(name, offer.identity[1], me)
+        session = Session(name, identity, title, rung, front, resource, self.clock())
+        self.sessions[name] = session
+        self.log(self.name, "started", identity=identity, session=name, front=front, title=title, rung=rung)
+        if "lose" in self.faults:
+            # The session runs, its answer never arrives: what the caller cannot tell from one that never ran.
+            with suppress(OSError):
+                peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                peer.sock.close()
+            raise Hung
+        links = [link(f"/r/{name}/layer", LAYERS)]
+        if protocol == "whep":
+            links.append(link(f"/events/{front or '-'}", EVENTS, events="active,inactive,layers,viewercount"))
+        return created(f"/r/{name}", resource.tag, text.encode(), [*links, self._load_header()])
+
+    def _endpoint(self, restart: int) -> Endpoint:
+        number = f"{self.count}x{restart}"
+        host, port = self.media.getsockname()
+        return Endpoint(
+            f"s{number}{self.name}",
+            f"{number:x<24}",
+            FINGERPRINT,
+            host,
+            port,
+            self.boot * 1_000_000 + self.count,
+        )
+
+    def _load_header(self) -> tuple[str, str]:
+        return HEADER, write_load(self.load())
+
+    def _layer(self, session: Session, request: Request) -> Reply:
+        try:
+            rung = read_layer(request.body, len(self.kind.ladder))
+        except ValueError as fault:
+            return problem("bad-request", str(fault))
+        self.log(self.name, "rung", identity=session.identity, session=session.name, rung=rung)
+        session.rung = rung
+        return Reply(200)
+
+    def _count_set_up(self) -> None:
+        """The rule of cold streamers: too many set-ups in `tip_after` seconds, and it falls over and stays
+        down.
+        """
+        now, k = self.clock(), self.kind
+        self.set_ups = [at for at in self.set_ups if at > now - k.tip_after] + [now]
+        if self.started is None or now - self.started >= k.warm_up:
+            return
+        most = max(1.0, k.fall_multiple * k.tip_after * k.places / k.warm_up * self.warmth(now))
+        if len(self.set_ups) > most and not self.fallen:
+            self.fallen = True
+            self.log(self.name, "fell", set_ups=len(self.set_ups), most=most)
+
+    def end(self, session: Session, reason: str, tell: bool = True) -> None:
+        """A session ends; its front hears of it where it did not ask for it."""
+        if self.sessions.pop(session.name, None) is None:
+            return
+        self.log(
+            self.name,
+            "ended",
+            identity=session.identity,
+            session=session.name,
+            reason=reason,
+            seconds=round(session.seconds, 2),
+            earned=round(session.earned, 3),
+            joined=session.consent is not None,
+        )
+        if tell:
+            self._tell("inactive", {"resource": f"/r/{session.name}", "reason": reason}, session.front)
+
+    # The event streams, one a front.
+
+    def _events(self, path: list[str], request: Request, peer: Peer) -> Reply:
+        if len(path) == 2 and request.method == "POST":
+            if not any(s.front == path[1] for s in self.sessions.values()):
+                return problem("no-such-session")
+            return Reply(201, (("Location", f"/events/{path[1]}/{self.boot}"),))
+        if len(path) == 3 and request.method == "GET" and path[2] == str(self.boot):
+            return Reply(200, (("Content-Type", "text/event-stream"),), self._stream(path[1], self.boot))
+        return problem("no-such-session")
+
+    def _stream(self, front: str, boot: int):
+        queue = Queue()
+        self.streams.setdefault(front, []).append(queue)
+        try:
+            yield HEARTBEAT
+            while self.running and self.boot == boot:
+                try:
+                    chunk = queue.get(timeout=BEAT)
+                except Empty:
+                    chunk = HEARTBEAT
+                if not self._mute(front):
+                    yield chunk
+        finally:
+            # A front whose stream is gone is gone: what it held ends with it, unless it comes back at once.
+            if queue in self.streams.get(front, ()):
+                self.streams[front].remove(queue)
+            if self.running and self.boot == boot:
+                gevent.spawn_later(2.0, self._front_gone, front, boot)
+
+    def _front_gone(self, front: str, boot: int) -> None:
+        if self.running and self.boot == boot and not self.streams.get(front) and not self._mute(front):
+            for session in [s for s in self.sessions.values() if s.front == front]:
+                self.end(session, "front-gone")
+
+    def _tell(self, name: str, data: dict, front: str | None = None) -> None:
+        for to, queues in self.streams.items():
+            if front in (None, to):
+                for queue in queues:
+                    queue.put(write_event(name, data))
+
+    def _report(self) -> None:
+        """Load every `tell` seconds; the share delivered each second while it is short, and once more
+        after.
+        """
+        told = self.clock() + self.farm.random.uniform(0, self.kind.tell)
+        while True:
+            gevent.sleep(1.0)
+            late = self.kind.told_late + self.faults.get("late", {}).get("by", 0.0)
+            now = self.clock()
+            share = next((s for at, _, _, s in reversed(self.past) if at <= now - late), 1.0)
+            if share < 0.98 or self._short:
+                self._tell("delivery", {"share": round(share, 4)})
+            self._short = share < 0.98
+            if now >= told:
+                told = now + self.kind.tell
+                load = self.load(late)
+                self._tell("load", {"link": round(load.link, 4), "rack": round(load.rack, 4)})
+
+    def _consent(self) -> None:
+        while True:
+            packet, sender = self.media.recvfrom(2048)
+            message = stun.read(packet)
+            if message is None or message[0] != 0x0001 or "silent" in self.faults:
+                continue
+            mine = message[2].partition(":")[0]
+            for session in self.sessions.values():
+                if session.resource.me.ufrag == mine:
+                    session.consent = self.clock()
+                    self.media.sendto(stun.success(message[1]), sender)
+                    break
+
+
+def run_orders(farm, lines) -> None:
+    """Carry out orders, one JSON object a line, until the end of input."""
+    for line in lines:
+        farm.command(json.loads(line))
--- /dev/null
+++ b/herongap/standins/viewer.py
@@ -0,0 +1,137 @@
+"""Scripted viewers and publishers: one offer, patience, consent while they play, teardown, coming again."""
+
+import random
+import time
+from contextlib import suppress
+from typing import NamedTuple
+
+import gevent
+import h11
+import sdp_transform
+from gevent import socket
+
+from herongap.daemon.wire import Address, Call
+from herongap.http import FRAGMENT, SDP, Reply, kind_of
+from herongap.sdp import Endpoint, Fragment, offer
+from herongap.sdp.fragment import write_fragment
+from herongap.standins import stun
+
+
+class Tried(NamedTuple):
+    """What came of one POST: the status (0: none came), the problem's kind, seconds it took."""
+
+    status: int
+    kind: str
+    taken: float
+    reply: Reply | None
+
+
+class Viewer:
+    """One client. `name` makes its offer's identity; `again` makes a new offer for it."""
+
+    def __init__(
+        self,
+        name: str,
+        front: Address,
+        target: str,
+        log,
+        seed: int = 0,
+        headers=(),
+        direction: str = "recvonly",
+        clock=time.monotonic,
+    ):
+        self.name, self.front, self.target, self.log = name, front, target, log
+        self.headers, self.direction, self.clock = list(headers), direction, clock
+        self.random = random.Random(f"{seed} {name}")
+        self.turn, self.location, self.tag, self.peer = 0, "", "", None
+        self.again()
+
+    def again(self) -> None:
+        """Make a new offer, as a client that comes again does."""
+        self.turn += 1
+        number = self.random.getrandbits(52)
+        mark = ":".join(f"{self.random.getrandbits(8):02X}" for _ in range(32))
+        self.me = Endpoint(f"v{number:x}", f"{number:x}".rjust(24, "p"), mark, "127.0.0.1", 9, number)
+        self.offer = offer(self.me, self.direction)
+        # As herongap.sdp reads it from the offer: what joins the viewer's log to the streamers'.
+        self.identity = f"- {number} 1 127.0.0.1 {self.me.ufrag} sha-256 {mark}"
+
+    def post(self, patience: float, hang_up: float | None = None) -> Tried:
+        """POST the offer and wait for the answer; `hang_up` seconds in, hang up instead."""
+        began = self.clock()
+        self.log(self.name, "asked", identity=self.identity, target=self.target, patience=patience)
+        status, kind, reply, call = 0, "", None, None
+        try:
+            call = Call(self.front, 2.0)
+            call.send("POST", self.target, [("Content-Type", SDP), *self.headers], self.offer.encode())
+            reply = call.receive(patience if hang_up is None else hang_up)
+            status, kind = reply.status, kind_of(reply.body)
+        except TimeoutError:
+            kind = "gave-up" if hang_up is None else "hung-up"
+        except (OSError, h11.ProtocolError) as fault:
+            kind = f"broken: {fault!r}"[:80]
+        finally:
+            if call:
+                call.close()
+        if status == 201:
+            self.location, self.tag = reply.header("location"), reply.header("etag")
+            candidate = sdp_transform.parse(reply.body.decode())["media"][0]
+            self.peer = (candidate["candidates"][0]["ip"], candidate["candidates"][0]["port"])
+            self.far = str(candidate["iceUfrag"])
+        taken = self.clock() - began
+        self.log(
+            self.name, "answered", identity=self.identity, status=status, kind=kind, taken=round(taken, 4)
+        )
+        return Tried(status, kind, taken, reply)
+
+    def play(self, seconds: float, lost_after: float = 4.0) -> bool:
+        """Send consent each second while playing; False if the streamer stops answering it."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        until = heard = self.clock()
+        until += seconds
+        try:
+            while self.clock() < until:
+                with suppress(OSError):
+                    sock.sendto(stun.request(self.far, self.me.ufrag), self.peer)
+                    sock.settimeout(max(0.01, min(1.0, until - self.clock())))
+                    sock.recv(2048)
+                    heard = self.clock()
+                    gevent.sleep(max(0.0, min(1.0, until - self.clock())))
+                if self.clock() - heard > lost_after:
+                    return False
+            return True
+        finally:
+            sock.close()
+
+    def call(self, method: str, headers=(), body: bytes = b"", target: str | None = None) -> Reply:
+        """Any other request to the front."""
+        call = Call(self.front, 2.0)
+        try:
+            call.send(method, self.location if target is None else target, [*self.headers, *headers], body)
+            return call.receive(5.0)
+        finally:
+            call.close()
+
+    def trickle(self, tag: str | None = None) -> Reply:
+        fragment = Fragment(self.me.ufrag, self.me.pwd, (("0", "1 1 udp 1 127.0.0.1 9 typ host"),), False)
+        return self._patch(fragment, tag or self.tag)
+
+    def restart_ice(self) -> Reply:
+        """New credentials under If-Match: *."""
+        reply = self._patch(Fragment(self.me.ufrag + "r", self.me.pwd, (), False), "*")
+        if reply.status == 200:
+            self.me = self.me._replace(ufrag=self.me.ufrag + "r")
+            self.tag = reply.header("etag")
+        return reply
+
+    def _patch(self, fragment: Fragment, tag: str) -> Reply:
+        headers = [("Content-Type", FRAGMENT), ("If-Match", tag)]
+        return self.call("PATCH", headers, write_fragment(fragment))
+
+    def delete(self) -> int:
+        """End the session; the status, 0 where none came."""
+        self.log(self.name, "deleting", identity=self.identity)
+        try:
+            return self.call("DELETE").status
+        except (OSError, h11.ProtocolError):
+            return 0
--- /dev/null
+++ b/herongap/whip/resource.py
@@ -0,0 +1,39 @@
+"""The session resource at the end that holds the media: trickled candidates, ICE restarts, entity tags."""
+
+from herongap.http import FRAGMENT, Reply, Request, problem, tag_matches
+from herongap.sdp import Endpoint, Fragment
+from herongap.sdp.fragment import write_fragment
+from herongap.whip.messages import EXPOSED, check_patch
+
+
+class Resource:
+    """One session's ICE state. An entity tag names one ICE session (RFC 9725, 4.3.1)."""
+
+    def __init__(self, name: str, remote_ufrag: str, me: Endpoint):
+        self.name, self.me, self.remote = name, me, remote_ufrag
+        self.restarts, self.candidates = 0, []
+
+    @property
+    def tag(self) -> str:
+        return f'"{self.name}-{self.restarts}"'
+
+    def patch(self, request: Request, fresh: Endpoint) -> Reply:
+        """Trickle (204), or restart with the credentials of `fresh` (200 with them)."""
+        fragment = check_patch(request)
+        if isinstance(fragment, Reply):
+            return fragment
+        if request.headers["if-match"].strip() == "*":
+            # 4.3.3: a restart is a fragment with other credentials under `If-Match: *`.
+            return self._restart(fragment, fresh)
+        if not tag_matches(request, self.tag) or fragment.ufrag != self.remote:
+            return problem("stale-tag")
+        self.candidates += fragment.candidates
+        return Reply(204, (("ETag", self.tag), *EXPOSED))
+
+    def _restart(self, fragment: Fragment, fresh: Endpoint) -> Reply:
+        if fragment.ufrag == self.remote:
+            return problem("bad-fragment", "a restart brings a new ice-ufrag")
+        self.remote, self.me, self.candidates = fragment.ufrag, fresh, list(fragment.candidates)
+        self.restarts += 1
+        mine = write_fragment(Fragment(fresh.ufrag, fresh.pwd, (), False))
+        return Reply(200, (("Content-Type", FRAGMENT), ("ETag", self.tag), *EXPOSED), mine)
