--- a/herongap/cli/__init__.py
+++ b/herongap/cli/__init__.py
@@ -2,7 +2,7 @@
 
 import click
 
-from herongap.cli import records, serve
+from herongap.cli import records, rehearse, serve
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -14,5 +14,5 @@
     """
 
 
-for command in (serve.serve, serve.check, serve.demo, records.replay, records.explain):
+for command in (serve.serve, serve.check, serve.demo, rehearse.rehearse, records.replay, records.explain):
     main.add_command(command)
--- a/herongap/cli/serve.py
+++ b/herongap/cli/serve.py
@@ -1,17 +1,14 @@
 """`serve`, `check` and `demo`: running a front."""
 
 import json
-import os
-import signal
 import sys
 import tempfile
 from pathlib import Path
 
 import click
-import gevent
 
 from herongap import observe
-from herongap.daemon.run import Daemon
+from herongap.daemon.run import Daemon, until_signal
 from herongap.ini import Faults, Site, read_catalogue, read_list, read_site
 
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
@@ -25,21 +22,6 @@
         raise click.ClickException(str(faults)) from faults
 
 
-def run(daemon: Daemon) -> None:
-    """Run a daemon until SIGTERM or SIGINT; a second one ends the process at once."""
-    signals = []
-
-    def stop() -> None:
-        signals.append(True)
-        if len(signals) > 1:
-            os._exit(1)
-        gevent.spawn(daemon.stop)
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stop)
-    daemon.stopped.wait()
-
-
 @click.command()
 @click.argument("file", type=FILE)
 def serve(file: Path) -> None:
@@ -56,7 +38,7 @@
         raise click.ClickException(f"cannot start: {fault}") from fault
     click.echo("listening http://{}:{}".format(*daemon.address))
     sys.stdout.flush()
-    run(daemon)
+    until_signal(daemon)
 
 
 @click.command()
@@ -150,5 +132,5 @@
             raise click.ClickException(f"cannot start: {fault}") from fault
         click.echo("listening http://{}:{}".format(*daemon.address))
         sys.stdout.flush()
-        run(daemon)
+        until_signal(daemon)
         farm.close()
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -1,5 +1,7 @@
 """One front put together: host, port, HTTP, files, timer, and an orderly end."""
 
+import os
+import signal
 import time
 from collections.abc import Callable
 
@@ -112,3 +114,18 @@
             gevent.sleep(0.5)
             if self.record:
                 self.record.flush()
+
+
+def until_signal(daemon: Daemon) -> None:
+    """Run a daemon until SIGTERM or SIGINT; a second one ends the process at once."""
+    signals = []
+
+    def stop() -> None:
+        signals.append(True)
+        if len(signals) > 1:
+            os._exit(1)
+        gevent.spawn(daemon.stop)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop)
+    daemon.stopped.wait()
--- a/herongap/daemon/wire.py
+++ b/herongap/daemon/wire.py
@@ -85,8 +85,7 @@
         _send(sock, conn, problem(kind, str(fault)), "", bounds, close=True)
         return False
     except gevent.Timeout:
-        if conn.our_state is h11.SEND_RESPONSE:
-            _send(sock, conn, problem("slow-request"), "", bounds, close=True)
+        _send(sock, conn, problem("slow-request"), "", bounds, close=True)
         return False
     if request is None:
         return False
@@ -118,7 +117,12 @@
         if event is h11.NEED_DATA:
             if head is not None and conn.they_are_waiting_for_100_continue:
                 _write(sock, conn.send(h11.InformationalResponse(status_code=100, headers=[])), bounds)
-            data = _receive(sock, deadline)
+            try:
+                data = _receive(sock, deadline)
+            except gevent.Timeout:
+                if begun:
+                    raise
+                return None  # an idle connection is closed without a word
             if not data and head is None and not begun:
                 return None
             if not begun:
--- a/herongap/host/record.py
+++ b/herongap/host/record.py
@@ -58,7 +58,7 @@
     """Writes a record through `write`, which takes the bytes of whole lines."""
 
     def __init__(self, write: Callable[[bytes], object]):
-        self._write, self._encode = write, msgspec.json.Encoder().encode
+        self._write, self._encode = write, msgspec.json.Encoder(enc_hook=list).encode
 
     def start(self, now: float, seed: int, charter: Charter) -> None:
         head = {"herongap_record": VERSION, "now": now, "seed": seed, "charter": charter}
@@ -81,7 +81,7 @@
     try:
         head = msgspec.json.decode(next(numbered)[1])
         if head.get("herongap_record") != VERSION:
-            raise Torn(f"not a record of version {VERSION}: {head.get('herongap_record')!r}")
+            raise Torn(f"line 1: not a record of version {VERSION}: {head.get('herongap_record')!r}")
         start = Start(head["now"], head["seed"], msgspec.convert(head["charter"], Charter))
     except (StopIteration, msgspec.MsgspecError, KeyError, AttributeError) as fault:
         raise Torn(f"line 1: no record begins here ({fault!r})") from fault
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -322,8 +322,13 @@
         if p.default or p.protocol not in defaults:
             defaults[p.protocol] = name
     near = path.resolve().parent
+    files = {
+        key: str(near / value)
+        for key in ("record", "log_to")
+        if (value := getattr(front, key)) not in ("", "-")
+    }
     return Site(
-        front=front,
+        front=front.model_copy(update=files),
         charter=charter,
         patience={name: p.patience for name, p in named["package"].items()},
         protocols={name: p.protocol for name, p in named["package"].items()},
--- /dev/null
+++ b/herongap/rehearsal/checker.py
@@ -0,0 +1,324 @@
+"""The six rules, judged from what stand-in streamers and clients saw on their sockets. Nothing else is read.
+
+Each of `check`'s rules is a function from the run to the breaks found, so that each can be proved on its own.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from herongap.rehearsal.day import zone_of
+from herongap.rehearsal.stage import LOOK, Outcome
+
+# Two sockets of one exchange are read by different processes; what one does before another may be seen after
+# it.
+SLACK = 0.05
+GRACE = 0.25  # seconds after a drain was told within which work may still arrive
+TWICE = 3.0  # seconds within which a late session must have been torn down
+MUTED = 3.5  # seconds after a streamer fell silent from which nobody can know what it still holds
+
+
+class Break(NamedTuple):
+    """A broken rule: its number, when (seconds into the day), what, and the lines that show it."""
+
+    rule: int
+    at: float
+    what: str
+    evidence: list
+
+
+class Post(NamedTuple):
+    """One POST of a client and what came of it."""
+
+    name: str
+    identity: str
+    asked: float
+    answered: float
+    status: int
+    kind: str
+    front: int
+    location: str
+
+
+class Out(NamedTuple):
+    """One tune-in as a streamer saw it: from its POST until it was answered or its caller hung up."""
+
+    streamer: str
+    begin: float
+    end: float
+    how: str
+    status: int
+    front: str
+    rung: int
+    title: str
+
+
+class Held(NamedTuple):
+    """One session as a streamer held it."""
+
+    streamer: str
+    begin: float
+    end: float
+    front: str
+    title: str
+    out: Out
+    told: bool
+
+
+class Run:
+    """The logs of a rehearsal, put together by the identities of offers."""
+
+    def __init__(self, outcome: Outcome):
+        self.outcome, self.day, self.began = outcome, outcome.day, outcome.began
+        self.package: dict[str, str] = {}
+        self.posts: list[Post] = []
+        self.outs: dict[str, list[Out]] = defaultdict(list)
+        self.sessions: dict[str, list[Held]] = defaultdict(list)
+        self.rungs: dict[str, list[tuple[float, str, int]]] = defaultdict(list)
+        self.fell: list[tuple[float, str, dict]] = []
+        self.gone: list[tuple[float, set[str]]] = []
+        self.fronts: dict[int, int] = {}
+        self.killed: dict[int, float] = {}
+        self.muted: dict[str, list[float]] = defaultdict(list)
+        self.lines: dict[str, list] = defaultdict(list)
+        self.stopping = float("inf")
+        self._read(outcome.lines)
+
+    def _read(self, lines) -> None:
+        wants: dict[str, str] = {}
+        open_outs: dict[tuple[str, str], list] = defaultdict(list)
+        open_sessions: dict[tuple[str, str], tuple] = {}
+        untold: set[tuple[str, str]] = set()
+        for at, who, what, d in lines:
+            identity = d.get("identity")
+            if identity:
+                self.lines[identity].append((round(at - self.began, 4), who, what, d))
+            if who == "stage":
+                self._stage(at, what, d)
+            elif what == "wants":
+                wants[who] = d["package"]
+            elif what == "asked":
+                self.package[identity] = wants[who]
+            elif what == "answered":
+                self.posts.append(
+                    Post(who, identity, d["asked"], at, d["status"], d["kind"], d["front"], d["location"])
+                )
+            elif what == "post":
+                open_outs[who, identity].append((at, d))
+            elif what in ("started", "refused", "hung-up"):
+                out = self._out(open_outs, who, identity, at, what, d.get("status", 0))
+                if what == "started":
+                    self.rungs[identity].append((at, who, d["rung"]))
+                    open_sessions[who, d["session"]] = (at, d, out)
+            elif what == "unanswered":
+                untold.add((who, d["session"]))
+            elif what == "ended":
+                begin, started, out = open_sessions.pop((who, d["session"]))
+                self._session(identity, who, begin, at, started, out, (who, d["session"]) not in untold)
+            elif what == "rung":
+                self.rungs[identity].append((at, who, d["rung"]))
+            elif what == "fell":
+                self.fell.append((at, who, d))
+            elif what == "order" and d["do"] in ("silent", "hang", "cut"):
+                self.muted[who].append(at)
+        for (who, identity), left in list(open_outs.items()):
+            while left:
+                self._out(open_outs, who, identity, float("inf"), "nothing", 0)
+        for (who, name), (begin, started, out) in open_sessions.items():
+            told = (who, name) not in untold
+            self._session(started["identity"], who, begin, float("inf"), started, out, told)
+
+    def _stage(self, at: float, what: str, d: dict) -> None:
+        if what == "front":
+            self.fronts[d["address"][1]] = d["number"]
+        elif what == "killed":
+            port = max((p for p, n in self.fronts.items() if n == d["front"]), key=list(self.fronts).index)
+            self.killed[port] = at
+        elif what == "listed":
+            self.gone.append((at, set(d["gone"])))
+        elif what == "stopping":
+            self.stopping = at
+
+    def _out(self, open_outs, who, identity, at, how, status) -> Out | None:
+        if not open_outs[who, identity]:
+            return None
+        begin, d = open_outs[who, identity].pop(0)
+        out = Out(who, begin, at, how, status, d["front"], d["rung"], d["title"])
+        self.outs[identity].append(out)
+        return out
+
+    def _session(self, identity, who, begin, end, started, out, told) -> None:
+        self.sessions[identity].append(Held(who, begin, end, started["front"], started["title"], out, told))
+
+    def broken(self, rule: int, at: float, what: str, identity: str | None = None) -> Break:
+        return Break(rule, round(at - self.began, 3), what, self.lines.get(identity, []))
+
+
+def check(outcome: Outcome) -> list[Break]:
+    """All breaks of a rehearsal, in the order of their rules and times."""
+    run = Run(outcome)
+    found = [b for rule in (answers, set_ups, drains, cold, floors, seats, budget) for b in rule(run)]
+    return sorted(found, key=lambda b: (b.rule, b.at))
+
+
+def answers(run: Run) -> Iterator[Break]:
+    """Rule 1: what a running controller took gets exactly one answer, before the viewer gives up."""
+    by_offer: dict[tuple, list[Post]] = defaultdict(list)
+    for post in run.posts:
+        killed = run.killed.get(post.front, float("inf"))
+        if post.status == 0:
+            if post.kind == "hung-up" or killed <= post.answered + SLACK or post.answered >= run.stopping:
+                continue  # its viewer left, or its controller was killed: it owes no answer
+            yield run.broken(1, post.answered, f"{post.name}: no answer ({post.kind})", post.identity)
+            continue
+        if post.status in (400, 404, 500):
+            yield run.broken(
+                1, post.answered, f"{post.name}: answered {post.status} {post.kind}", post.identity
+            )
+        if post.status == 201 and not run.sessions[post.identity]:
+            yield run.broken(1, post.answered, f"{post.name}: told it plays, no streamer does", post.identity)
+        by_offer[post.front, post.identity].append(post)
+    for (_, identity), posts in by_offer.items():
+        plays = {post.location for post in posts if post.status == 201}
+        if len(plays) > 1:
+            yield run.broken(1, posts[-1].answered, f"{posts[0].name}: one offer, two sessions", identity)
+        for post in posts:
+            others = [o for o in posts if o.asked < post.answered and post.asked < o.answered]
+            if len({o.status for o in others}) > 1:
+                yield run.broken(1, post.answered, f"{post.name}: one viewing, two answers", identity)
+                break
+
+
+def set_ups(run: Run) -> Iterator[Break]:
+    """Rule 2: never two tune-ins out, nothing set up twice; what may not be repeated is not."""
+    for identity, outs in run.outs.items():
+        outs = sorted(outs, key=lambda out: out.begin)
+        for before, after in zip(outs, outs[1:], strict=False):
+            if after.begin < before.end - SLACK:
+                what = f"two tune-ins out, at {before.streamer} and {after.streamer}"
+                yield run.broken(2, after.begin, what, identity)
+        # A session whose answer was lost on its way cannot be known of; whether it may be set up again is for
+        # the package's terms, below.
+        held = sorted((s for s in run.sessions[identity] if s.told), key=lambda s: s.begin)
+        for before, after in zip(held, held[1:], strict=False):
+            if min(before.end, run.stopping) > after.begin + TWICE and not _mute(run, before):
+                what = f"plays twice, at {before.streamer} and {after.streamer}"
+                yield run.broken(2, after.begin, what, identity)
+        terms = run.day.packages.get(run.package.get(identity, ""))
+        if terms and terms.repeat != "harmless":
+            yield from _repeats(run, identity, terms, outs)
+
+
+def _repeats(run: Run, identity: str, terms, outs: list[Out]) -> Iterator[Break]:
+    # Refused as full or unknown: it provably never ran. Anything else may have.
+    ran = [out for out in outs if not (out.how == "refused" and out.status in (404, 422, 503))]
+    for earlier in ran:
+        for later in outs:
+            if later.begin > earlier.begin and not _recognised(run, terms, earlier, later):
+                what = f"sent again to {later.streamer} though {earlier.streamer} may have set it up"
+                yield run.broken(2, later.begin, what, identity)
+    for post in run.posts:
+        over_all = terms.repeat == "in_group" and terms.group == "all"
+        came_after = [out for out in ran if out.begin < post.answered]
+        if post.identity == identity and post.kind == "blocked" and not over_all and came_after:
+            yield run.broken(2, post.answered, f"{post.name}: told to come again though it may run", identity)
+
+
+def _recognised(run: Run, terms, earlier: Out, later: Out) -> bool:
+    if terms.repeat == "harmful" or later.begin - earlier.begin > terms.repeat_window:
+        return False
+    if terms.group == "all":
+        return True
+    if terms.group == "zone":
+        return zone_of(int(earlier.streamer[1:]), run.day) == zone_of(int(later.streamer[1:]), run.day)
+    return earlier.streamer == later.streamer
+
+
+def drains(run: Run) -> Iterator[Break]:
+    """Rule 3: nothing new to a streamer later than the grace after it was listed as draining or gone."""
+    since: dict[str, float] = {}
+    changes = iter([*run.gone, (float("inf"), set())])
+    at, gone = next(changes)
+    for identity, out in sorted(
+        ((i, o) for i, outs in run.outs.items() for o in outs), key=lambda pair: pair[1].begin
+    ):
+        while at <= out.begin:
+            since = {name: since.get(name, at) for name in gone}
+            at, gone = next(changes)
+        told = since.get(out.streamer)
+        if told is not None and out.begin > told + LOOK + GRACE + SLACK:
+            what = f"sent to {out.streamer}, listed as leaving or gone {out.begin - told:.3f} s before"
+            yield run.broken(3, out.begin, what, identity)
+
+
+def cold(run: Run) -> Iterator[Break]:
+    """Rule 4: no streamer that has just started is pushed over."""
+    for at, streamer, d in run.fell:
+        yield run.broken(4, at, f"{streamer} fell over at {d['set_ups']} set-ups, {d['most']:.1f} allowed")
+
+
+def floors(run: Run) -> Iterator[Break]:
+    """Rule 5, first half: nothing plays under its package's floor."""
+    for identity, rungs in run.rungs.items():
+        terms = run.day.packages.get(run.package.get(identity, ""))
+        for at, streamer, rung in rungs:
+            if terms and rung < terms.floor:
+                yield run.broken(5, at, f"rung {rung} at {streamer}, under the floor {terms.floor}", identity)
+
+
+def seats(run: Run) -> Iterator[Break]:
+    """Rule 5, second half: no controller holds more viewings of a title and package than its seats.
+
+    A seat is taken from the POST at the streamer until that is answered otherwise, hung up on, or its
+    session ends.
+    """
+    steps: dict[tuple, list[tuple[float, int, str]]] = defaultdict(list)
+    for identity, outs in run.outs.items():
+        package = run.package.get(identity, "")
+        if package not in run.day.packages or not run.day.packages[package].seats:
+            continue
+        for out in outs:
+            held = next((s for s in run.sessions[identity] if s.out is out), None)
+            end = out.end
+            # Where the answer was lost on its way, the tune-in ended for its controller when that broke.
+            if held and held.told:
+                muted = [at + MUTED for at in run.muted[out.streamer] if at + MUTED > held.begin]
+                end = min([held.end, *muted])
+            steps[out.front, out.title, package] += [
+                (out.begin, 1, identity),
+                (max(end - SLACK, out.begin + 1e-6), -1, identity),
+            ]
+    for (front, title, package), changes in steps.items():
+        most, now = run.day.packages[package].seats, 0
+        for at, change, identity in sorted(changes):
+            now += change
+            if change > 0 and now > most:
+                what = f"{front} holds {now} of title {title}, {package} has {most} seats"
+                yield run.broken(5, at, what, identity)
+
+
+def budget(run: Run) -> Iterator[Break]:
+    """Rule 6: further tune-ins of a controller stay within a few and a share of the viewings that it took."""
+    size = run.day.size
+    extras: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    taken: dict[str, list[float]] = defaultdict(list)
+    for identity, outs in run.outs.items():
+        for front in {out.front for out in outs}:
+            begins = sorted(out.begin for out in outs if out.front == front)
+            extras[front] += [(at, identity) for at in begins[1:]]
+    for post in run.posts:
+        if post.front in run.fronts:
+            taken[run.fronts[post.front]].append(post.asked)
+    for front, sent in extras.items():
+        sent.sort()
+        asked = sorted(taken[int(front.split("-")[1])])
+        for i, (at, identity) in enumerate(sent):
+            window = sum(1 for t, _ in sent[: i + 1] if t > at - size.extra_window)
+            took = sum(1 for t in asked if at - size.extra_window < t <= at)
+            if window > size.extra_free + size.extra_share * took:
+                what = f"{front}: {window} further tune-ins in {size.extra_window:g} s, having taken {took}"
+                yield run.broken(6, at, what, identity)
+
+
+def _mute(run: Run, held: Held) -> bool:
+    return any(at < held.end and at + 30 > held.begin for at in run.muted[held.streamer])
--- /dev/null
+++ b/herongap/rehearsal/day.py
@@ -0,0 +1,322 @@
+"""A rehearsal day: its INI file checked, and the script that a seed makes of it. No I/O but reading the
+file.
+"""
+
+import configparser
+import itertools
+import random
+from pathlib import Path
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field, ValidationError
+
+from herongap.ini.site import Faults, Figures, PackageTerms, Part, Seconds, Share
+
+Whole = Annotated[int, Field(ge=1, le=10000)]
+Above = Annotated[float, Field(gt=0)]
+KINDS = (
+    "die", "silent", "hang", "fail", "slow", "lose", "late", "sag", "ageing", "cut", "deploy", "drain",
+    "list_late", "crowd", "burst", "controllers", "empty_list",
+)  # fmt: skip
+
+
+class Size(Part):
+    """The [day] section."""
+
+    seconds: Above = 40.0
+    rate: Above = 50.0
+    controllers: Whole = 3
+    streamers: Whole = 16
+    zones: Whole = 2
+    racks: Whole = 4
+    titles: Whole = 40
+    holders: Whole = 5
+    popularity: Annotated[float, Field(ge=0, le=3)] = 0.8
+    length: Above = 6.0
+    list_late: Seconds = 0.5
+    rates: Figures = [150.0, 400.0, 900.0, 1800.0]
+    values: Figures = [0.3, 0.55, 0.8, 1.0]
+    small_screens: Share = 0.2
+    extra_free: Annotated[float, Field(ge=0)] = 5.0
+    extra_share: Share = 0.1
+    extra_window: Above = 5.0
+
+
+class Clients(Part):
+    """The [clients] section: shares of viewers with a habit, and who comes again."""
+
+    repeats: Share = 0.04
+    doubles: Share = 0.02
+    leaves: Share = 0.02
+    trickles: Share = 0.1
+    returns: Share = 0.85
+    tries: Whole = 3
+
+
+class Machines(Part):
+    """The [streamer] section."""
+
+    link: Above = 20000.0
+    rack: Above = 70000.0
+    places: Whole = 60
+    full_from: Annotated[float, Field(ge=0)] = 1.2
+    warm_up: Above = 8.0
+    cold_start: Annotated[float, Field(gt=0, le=1)] = 0.4
+    fall_multiple: Above = 2.5
+    tip_after: Above = 1.0
+    told_late: Seconds = 0.4
+    tell: Above = 2.0
+
+
+class Share_(PackageTerms):
+    """A [package NAME] section: the front's keys, and its share of the viewings."""
+
+    share: Share
+
+
+class Trouble(Part):
+    """A [trouble NAME] section; `part` of the streamers (or controllers) unless `on` numbers them."""
+
+    kind: Literal[KINDS]
+    at: Seconds
+    lasts: Seconds = 8.0
+    part: Share = 0.12
+    on: list[int] | None = None
+    size: float = 2.0
+    extra: float = 3.0
+
+
+class Day(NamedTuple):
+    """One day, checked."""
+
+    size: Size
+    clients: Clients
+    machines: Machines
+    packages: dict[str, Share_]
+    troubles: dict[str, Trouble]
+
+
+class Arrival(NamedTuple):
+    """One viewer: when it comes, what it wants, what it does."""
+
+    at: float
+    name: str
+    zone: int
+    title: str
+    package: str
+    length: float
+    top: int
+    habit: str
+
+
+class Order(NamedTuple):
+    """One step of a trouble. `to` is "farm", "list", "list_late" or "controllers"."""
+
+    at: float
+    to: str
+    what: dict
+
+
+class Script(NamedTuple):
+    arrivals: list[Arrival]
+    orders: list[Order]
+    titles: dict[str, list[str]]
+
+
+def read_day(path: Path) -> Day:
+    """Raises Faults with all that is wrong."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as fault:
+        raise Faults(f"{path}: {fault}") from fault
+    faults: list[str] = []
+    once = {"day": Size, "clients": Clients, "streamer": Machines}
+    found: dict = {}
+    packages, troubles = {}, {}
+    for section in parser.sections():
+        kind, _, name = section.partition(" ")
+        model = once.get(section) or {"package": Share_, "trouble": Trouble}.get(kind if name else "")
+        if model is None:
+            faults.append(f"{path}: [{section}]: unknown section")
+            continue
+        values: dict = dict(parser[section])
+        if "on" in values:
+            values["on"] = [part.strip() for part in values["on"].split(",")]
+        try:
+            part = model.model_validate(values)
+        except ValidationError as fault:
+            faults += [
+                f"{path}: [{section}] {error['loc'][0]} = {values.get(error['loc'][0])}: {error['msg']}"
+                for error in fault.errors()
+            ]
+            continue
+        if section in once:
+            found[section] = part
+        else:
+            (packages if kind == "package" else troubles)[name] = part
+    if not packages and not faults:
+        faults.append(f"{path}: [package NAME]: at least one package is needed")
+    if faults:
+        raise Faults("\n".join(faults))
+    return Day(
+        found.get("day", Size()),
+        found.get("clients", Clients()),
+        found.get("streamer", Machines()),
+        packages,
+        troubles,
+    )
+
+
+def zone_of(streamer: int, day: Day) -> str:
+    return f"z{streamer % day.size.zones}"
+
+
+def rack_of(streamer: int, day: Day) -> str:
+    # A rack stands in one zone.
+    zones = day.size.zones
+    return f"rack{streamer % zones}-{streamer // zones % max(1, day.size.racks // zones)}"
+
+
+def script(day: Day, seed: int) -> Script:
+    """The viewers and the troubles of a day; the same for the same seed. Each has draws of its own."""
+    streamers = [f"s{i}" for i in range(day.size.streamers)]
+    draw = random.Random(f"titles {seed}")
+    titles = {
+        str(n): sorted(draw.sample(streamers, min(len(streamers), max(3, day.size.holders))))
+        for n in range(1, day.size.titles + 1)
+    }
+    orders: list[Order] = []
+    for name, trouble in day.troubles.items():
+        orders += _orders(day, trouble, streamers, random.Random(f"trouble {name} {seed}"))
+    return Script(_arrivals(day, seed), sorted(orders, key=lambda o: o.at), titles)
+
+
+def _arrivals(day: Day, seed: int) -> list[Arrival]:
+    draw = random.Random(f"viewers {seed}")
+    names = list(day.packages)
+    shares = [day.packages[n].share for n in names]
+    weights = [1 / n**day.size.popularity for n in range(1, day.size.titles + 1)]
+    habits = ("repeats", "doubles", "leaves", "trickles")
+    odds = [getattr(day.clients, habit) for habit in habits]
+    peak = day.size.rate * max(
+        [1.0, *(1 + t.size for t in day.troubles.values() if t.kind in ("crowd", "burst"))]
+    )
+    arrivals, at = [], 0.0
+    for number in itertools.count():
+        # Thinning: draws at the highest rate, of which each moment keeps its part.
+        at += draw.expovariate(peak)
+        if at >= day.size.seconds:
+            return arrivals
+        crowds = [
+            t for t in day.troubles.values() if t.kind in ("crowd", "burst") and t.at <= at < t.at + t.lasts
+        ]
+        rate = day.size.rate * (1 + sum(t.size - 1 if t.kind == "burst" else t.size for t in crowds))
+        keep, pick, habit = draw.random() * peak < rate, draw.random(), draw.random()
+        title = str(draw.choices(range(1, day.size.titles + 1), weights)[0])
+        package = draw.choices(names, shares)[0]
+        small = draw.random() < day.size.small_screens
+        length, zone = draw.expovariate(1 / day.size.length), draw.randrange(day.size.zones)
+        if not keep:
+            continue
+        for crowd in crowds:
+            # The crowd's own viewers want one of its few titles.
+            if crowd.kind == "crowd" and pick * rate / day.size.rate < crowd.size:
+                title = str(1 + int(crowd.at * 7 + pick * 1000) % max(1, int(crowd.extra)))
+        habit = next(
+            (h for h, edge in zip(habits, itertools.accumulate(odds), strict=True) if habit < edge), "plain"
+        )
+        top = len(day.size.rates) - 1
+        arrivals.append(
+            Arrival(
+                at, f"w{number}", zone, title, package, 0.5 + length, max(1, top - 2) if small else top, habit
+            )
+        )
+
+
+def _orders(day: Day, t: Trouble, streamers: list[str], draw: random.Random) -> list[Order]:
+    count = max(1, round(t.part * len(streamers)))
+    on = [streamers[i % len(streamers)] for i in t.on] if t.on else sorted(draw.sample(streamers, count))
+    end = t.at + t.lasts
+
+    def farm(at: float, do: str, names=on, **more) -> Order:
+        return Order(at, "farm", {"do": do, "on": list(names), **more})
+
+    def told(at: float, standing: str, names=on) -> Order:
+        return Order(at, "list", {"standing": standing, "on": list(names)})
+
+    match t.kind:
+        case "die":
+            # The list tells of what runs: late that it is gone, late that it is back, cold.
+            return [farm(t.at, "die"), told(t.at, "left"), farm(end, "start"), told(end, "started")]
+        case "silent":
+            return [
+                farm(t.at, "silent"), farm(end - 0.1, "die"), farm(end, "heal"), farm(end, "start"),
+                told(end, "started"),
+            ]  # fmt: skip
+        case "hang" | "lose":
+            return [farm(t.at, t.kind), farm(end, "sound", fault=t.kind)]
+        case "fail":
+            return [farm(t.at, "fail", part=min(1.0, t.size)), farm(end, "sound", fault="fail")]
+        case "slow" | "late":
+            return [farm(t.at, t.kind, by=t.extra), farm(end, "sound", fault=t.kind)]
+        case "sag":
+            return [farm(t.at, "sag", to=1 / max(1.0, t.size)), farm(end, "sag", to=1.0)]
+        case "ageing":
+            steps = 8
+            slower = [
+                farm(t.at + t.lasts * i / steps, "sag", to=1 / (1 + (max(1.0, t.size) - 1) * i / steps))
+                for i in range(1, steps + 1)
+            ]
+            back = end + t.extra
+            return [
+                *slower, farm(end, "die"), told(end, "left"), farm(back, "heal"), farm(back, "start"),
+                told(back, "started"),
+            ]  # fmt: skip
+        case "cut":
+            zone = f"z{draw.randrange(day.size.zones)}"
+            inside = [s for i, s in enumerate(streamers) if zone_of(i, day) == zone]
+            outside = [s for s in streamers if s not in inside]
+            fronts = [f"herongap-{c}-" for c in range(day.size.controllers)]
+            near = [f for c, f in enumerate(fronts) if f"z{c % day.size.zones}" == zone]
+            far = [f for f in fronts if f not in near]
+            return [
+                farm(t.at, "cut", inside, fronts=far), farm(t.at, "cut", outside, fronts=near),
+                farm(end, "sound", fault="cut", names=streamers),
+            ]  # fmt: skip
+        case "drain":
+            return [told(t.at, "leaving"), told(end, "active")]
+        case "deploy":
+            return _deploy(t, streamers, draw, farm, told)
+        case "list_late":
+            return [
+                Order(t.at, "list_late", {"by": t.extra}),
+                Order(end, "list_late", {"by": day.size.list_late}),
+            ]
+        case "empty_list":
+            return [told(t.at, "none", streamers), told(end, "back", streamers)]
+        case "controllers":
+            lost = draw.sample(range(day.size.controllers), max(1, round(t.part * day.size.controllers)))
+            return [
+                Order(t.at, "controllers", {"do": "kill", "on": lost}),
+                Order(end, "controllers", {"do": "start", "on": lost}),
+            ]
+    return []  # crowds and bursts are in the arrivals
+
+
+def _deploy(t: Trouble, streamers: list[str], draw: random.Random, farm, told) -> list[Order]:
+    """Batches drain for `extra` seconds, stop, and come back cold; `size` is the share of the fleet in a
+    batch.
+    """
+    order = draw.sample(streamers, len(streamers))[: max(1, round(t.part * len(streamers)))]
+    batch = max(1, round(min(1.0, t.size) * len(streamers)))
+    batches = [order[i : i + batch] for i in range(0, len(order), batch)]
+    out = []
+    for i, names in enumerate(batches):
+        at = t.at + t.lasts * i / len(batches)
+        stop = at + t.extra
+        out += [told(at, "leaving", names), farm(stop, "die", names), told(stop, "left", names)]
+        out += [farm(stop + 0.5, "start", names), told(stop + 0.5, "started", names)]
+    return out
--- /dev/null
+++ b/herongap/rehearsal/stage.py
@@ -0,0 +1,317 @@
+"""Plays a script: streamers in a process, controllers in processes of their own, viewers here.
+
+All logs carry the machine's one monotonic clock, so that what different processes saw can be put in order.
+"""
+
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import gevent
+from gevent import subprocess as green
+
+from herongap.daemon.wire import Address
+from herongap.rehearsal.day import Arrival, Day, Order, Script, rack_of, script, zone_of
+from herongap.standins.farm import Log
+from herongap.standins.viewer import Viewer
+
+LOOK = 0.05  # seconds between two looks of a controller at its list
+COME_AGAIN = (0.3, 1.2)
+
+
+class Outcome(NamedTuple):
+    """What a rehearsal left: where its logs are, and what the checker needs to know of the day."""
+
+    folder: Path
+    day: Day
+    script: Script
+    began: float
+    lines: list[tuple[float, str, str, dict]]
+
+
+class Actors:
+    """The processes of a stage. Tests bring others, which run in their own process."""
+
+    def __init__(self, day: Day, folder: Path, seed: int, policy: str):
+        self.day, self.folder, self.seed, self.policy = day, folder, seed, policy
+        self.farm: green.Popen | None = None
+        self.fronts: dict[int, green.Popen] = {}
+
+    def start_farm(self) -> dict[str, Address]:
+        """Start the streamers; their addresses."""
+        what = {
+            "kind": farm_kind(self.day),
+            "seed": self.seed,
+            "log": str(self.folder / "streamers.jsonl"),
+            "streamers": [
+                [f"s{i}", zone_of(i, self.day), rack_of(i, self.day)] for i in range(self.day.size.streamers)
+            ],
+        }
+        (self.folder / "farm.json").write_text(json.dumps(what))
+        self.farm = green.Popen(
+            [sys.executable, "-m", "herongap.rehearsal.farm", str(self.folder / "farm.json")],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        return {name: tuple(address) for name, address in json.loads(self.farm.stdout.readline()).items()}
+
+    def order(self, what: dict) -> None:
+        self.farm.stdin.write(json.dumps(what) + "\n")
+        self.farm.stdin.flush()
+
+    def start_front(self, number: int, file: Path) -> Address:
+        """Start a controller; the address that it listens on."""
+        front = green.Popen(
+            [sys.executable, "-m", "herongap.rehearsal.controller", str(file), self.policy],
+            stdout=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        line = front.stdout.readline()
+        if not line.startswith("listening "):
+            raise RuntimeError(f"controller {number} did not start")
+        self.fronts[number] = front
+        host, _, port = line.strip().rpartition("/")[2].rpartition(":")
+        return host, int(port)
+
+    def kill_front(self, number: int) -> None:
+        self.fronts.pop(number).kill()
+
+    def stop(self) -> None:
+        for front in self.fronts.values():
+            front.send_signal(signal.SIGTERM)
+        for front in self.fronts.values():
+            try:
+                front.wait(timeout=20)
+            except subprocess.TimeoutExpired:
+                front.kill()
+        if self.farm:
+            self.farm.stdin.close()
+            self.farm.wait(timeout=10)
+
+
+def farm_kind(day: Day) -> dict:
+    m = day.machines
+    return {
+        "ladder": day.size.rates,
+        "values": day.size.values,
+        "link": m.link,
+        "rack": m.rack,
+        "places": m.places,
+        "full_from": m.full_from,
+        "warm_up": m.warm_up,
+        "cold_start": m.cold_start,
+        "fall_multiple": m.fall_multiple,
+        "tip_after": m.tip_after,
+        "told_late": m.told_late,
+        "tell": m.tell,
+    }
+
+
+class Stage:
+    """One rehearsal under way."""
+
+    def __init__(self, day: Day, folder: Path, seed: int, actors: Actors):
+        self.day, self.folder, self.seed, self.actors = day, folder, seed, actors
+        self.script = script(day, seed)
+        self.began = 0.0
+        self.late = day.size.list_late
+        self.listing: dict[str, dict] = {}
+        self.fronts: dict[int, Address | None] = {}
+        self.log_file = open(folder / "clients.jsonl", "w", encoding="utf-8")  # noqa: SIM115
+        self.log = Log(self.log_file.write)
+        self.wall = time.time() - time.monotonic()
+
+    def play(self) -> Outcome:
+        """Play the whole day; returns when the last viewer is done and all processes have ended."""
+        try:
+            for i, (name, address) in enumerate(self.actors.start_farm().items()):
+                self.listing[name] = {
+                    "id": name, "url": f"http://{address[0]}:{address[1]}", "zone": zone_of(i, self.day),
+                    "rack": rack_of(i, self.day), "standing": "active", "started": None,
+                }  # fmt: skip
+            (self.folder / "catalogue.json").write_text(json.dumps({"titles": self.script.titles}))
+            self._write_list()
+            for number in range(self.day.size.controllers):
+                self._start_front(number)
+            self.began = time.monotonic()
+            playing = [gevent.spawn(self._follow_orders)]
+            for arrival in self.script.arrivals:
+                self._sleep_until(arrival.at)
+                playing.append(gevent.spawn(self._live, arrival))
+            gevent.joinall(playing, timeout=self.day.size.seconds + 60)
+            gevent.sleep(0.5)
+        finally:
+            self.log("stage", "stopping")
+            self.actors.stop()
+            self.log_file.close()
+        return Outcome(self.folder, self.day, self.script, self.began, read_logs(self.folder))
+
+    def _sleep_until(self, at: float) -> None:
+        gevent.sleep(max(0.0, self.began + at - time.monotonic()))
+
+    # Troubles.
+
+    def _follow_orders(self) -> None:
+        for order in self.script.orders:
+            self._sleep_until(order.at)
+            self._carry_out(order)
+
+    def _carry_out(self, order: Order) -> None:
+        self.log("stage", order.to, **order.what)
+        if order.to == "farm":
+            self.actors.order(order.what)
+        elif order.to == "list_late":
+            self.late = order.what["by"]
+        elif order.to == "list":
+            now = time.monotonic()
+            gevent.spawn_later(self.late, self._relist, order.what, now)
+        elif order.what["do"] == "kill":
+            for number in order.what["on"]:
+                self.log("stage", "killed", front=number)
+                self.fronts[number] = None
+                self.actors.kill_front(number)
+        else:
+            for number in order.what["on"]:
+                self._start_front(number)
+
+    def _relist(self, what: dict, at: float) -> None:
+        for name in what["on"]:
+            line = self.listing[name]
+            match what["standing"]:
+                case "started":
+                    line["standing"], line["started"] = "active", at + self.wall
+                case "none":
+                    line["hidden"] = True
+                case "back":
+                    line.pop("hidden", None)
+                case standing:
+                    line["standing"] = standing
+        self._write_list()
+
+    def _write_list(self) -> None:
+        lines = [line for line in self.listing.values() if "hidden" not in line]
+        new = self.folder / "streamers.json.new"
+        new.write_text(json.dumps({"streamers": lines}))
+        os.replace(new, self.folder / "streamers.json")
+        gone = [n for n, line in self.listing.items() if "hidden" in line or line["standing"] != "active"]
+        self.log("stage", "listed", gone=gone)
+
+    def _start_front(self, number: int) -> None:
+        file = self.folder / f"controller-{number}.ini"
+        file.write_text(front_ini(self.day, number, self.seed, self.folder))
+        self.fronts[number] = self.actors.start_front(number, file)
+        self.log("stage", "front", number=number, address=list(self.fronts[number]))
+
+    # Viewers.
+
+    def _live(self, arrival: Arrival) -> None:
+        draw = random.Random(f"viewer {arrival.name} {self.seed}")
+        protocol = self.day.packages[arrival.package].protocol
+        target = f"/{protocol}/{arrival.title}?package={arrival.package}&top={arrival.top}"
+        direction = "recvonly" if protocol == "whep" else "sendonly"
+        viewer = Viewer(arrival.name, ("", 0), target, self.log, self.seed, direction=direction)
+        self.log(arrival.name, "wants", package=arrival.package, title=arrival.title, seconds=arrival.length,
+                 top=arrival.top)  # fmt: skip
+        left = arrival.length
+        for _ in range(self.day.clients.tries):
+            viewer.front = self._choose(arrival, draw)
+            if viewer.front is None:
+                gevent.sleep(draw.uniform(*COME_AGAIN))
+                continue
+            tried = self._ask(viewer, arrival, draw)
+            if tried is None:
+                return  # it left of its own will
+            wait = draw.uniform(*COME_AGAIN)
+            if tried.status == 201:
+                began = time.monotonic()
+                if arrival.habit == "trickles":
+                    gevent.spawn(self._trickle, viewer, draw.random())
+                if viewer.play(left):
+                    viewer.delete()
+                    return
+                self.log(arrival.name, "lost", identity=viewer.identity)
+                viewer.delete()
+                left -= time.monotonic() - began
+            if left < 0.5 or draw.random() >= self.day.clients.returns:
+                return
+            if tried.reply is not None:
+                wait = max(wait, float(tried.reply.header("retry-after") or 0.0))
+            gevent.sleep(wait)
+            viewer.again()
+
+    def _choose(self, arrival: Arrival, draw: random.Random) -> Address | None:
+        """A controller that listens, its own zone's for choice: what a balancer before the controllers
+        does.
+        """
+        up = [n for n, address in self.fronts.items() if address]
+        near = [n for n in up if n % self.day.size.zones == arrival.zone]
+        return self.fronts[draw.choice(near or up)] if up else None
+
+    def _ask(self, viewer: Viewer, arrival: Arrival, draw: random.Random):
+        patience = self.day.packages[arrival.package].patience
+        if arrival.habit == "leaves":
+            tried = viewer.post(patience, hang_up=draw.uniform(0.001, 0.08))
+            return tried if tried.status == 201 else None
+        if arrival.habit == "repeats":
+            # Its own time-out is short: it repeats the same offer while the first may still be set up.
+            first = viewer.post(patience, hang_up=draw.uniform(0.001, 0.08))
+            return first if first.status else viewer.post(patience)
+        if arrival.habit == "doubles":
+            second = gevent.spawn(viewer.post, patience)
+            tried = viewer.post(patience)
+            second.join()
+            return tried
+        return viewer.post(patience)
+
+    def _trickle(self, viewer: Viewer, wait: float) -> None:
+        gevent.sleep(wait)
+        try:
+            status = viewer.restart_ice().status if wait < 0.3 else viewer.trickle().status
+        except Exception as fault:  # whatever comes of it is what the log is for
+            status = repr(fault)
+        self.log(viewer.name, "trickled", identity=viewer.identity, status=status)
+
+
+def front_ini(day: Day, number: int, seed: int, folder: Path) -> str:
+    """The INI file of one controller of a day."""
+    s, m = day.size, day.machines
+    lines = [
+        "[front]", "listen = 127.0.0.1:0", f"number = {number}", f"controllers = {s.controllers}",
+        f"zone = z{number % s.zones}", f"seed = {seed * 1000 + number}", "log_level = info",
+        "log_format = json", f"log_to = {folder / f'controller-{number}.log'}",
+        f"record = {folder / '{name}.record'}",
+        "[limits]", "pace = 100000", "burst = 100000", "connections_a_peer = 100000", "connections = 100000",
+        "[ladder]", f"rates = {', '.join(map(str, s.rates))}", f"values = {', '.join(map(str, s.values))}",
+        "[links]", f"per_weight = {m.link}", f"rack = {m.rack}", f"told_late = {m.told_late}",
+        f"full_from = {m.full_from}",
+        "[cold]", f"warm_up = {m.warm_up}", f"start = {m.cold_start}", f"fall_multiple = {m.fall_multiple}",
+        "[places]", f"std = {m.places}",
+        "[budget]", f"free = {s.extra_free}", f"share = {s.extra_share}", f"window = {s.extra_window}",
+        "[streamers]", "list = streamers.json", f"look = {LOOK}", "[catalogue]", "file = catalogue.json",
+    ]  # fmt: skip
+    for name, package in day.packages.items():
+        lines.append(f"[package {name}]")
+        lines += [f"{key} = {value}" for key, value in package.model_dump().items() if key != "share"]
+    return "\n".join(lines) + "\n"
+
+
+def read_logs(folder: Path) -> list[tuple[float, str, str, dict]]:
+    """All lines of a rehearsal's logs in the order of their times."""
+    lines = []
+    for name in ("streamers.jsonl", "clients.jsonl"):
+        with open(folder / name, encoding="utf-8") as file:
+            lines += [tuple(json.loads(line)) for line in file if line.endswith("\n")]
+    return sorted(lines, key=lambda line: line[0])
+
+
+def play(
+    day: Day, folder: Path, seed: int, policy: str = "herongap", actors: Callable | None = None
+) -> Outcome:
+    """Play one day in `folder`; see `policies` of `herongap.rehearsal.baselines` for what may decide it."""
+    folder.mkdir(parents=True, exist_ok=True)
+    return Stage(day, folder, seed, (actors or Actors)(day, folder, seed, policy)).play()
--- a/herongap/standins/streamer.py
+++ b/herongap/standins/streamer.py
@@ -251,6 +251,7 @@
         self.log(self.name, "started", identity=identity, session=name, front=front, title=title, rung=rung)
         if "lose" in self.faults:
             # The session runs, its answer never arrives: what the caller cannot tell from one that never ran.
+            self.log(self.name, "unanswered", identity=identity, session=name)
             with suppress(OSError):
                 peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
                 peer.sock.close()
@@ -375,9 +376,12 @@
 
     def _consent(self) -> None:
         while True:
-            packet, sender = self.media.recvfrom(2048)
+            try:
+                packet, sender = self.media.recvfrom(2048)
+            except OSError:
+                return  # the process ended
             message = stun.read(packet)
-            if message is None or message[0] != 0x0001 or "silent" in self.faults:
+            if message is None or message[0] != 0x0001 or "silent" in self.faults or "hang" in self.faults:
                 continue
             mine = message[2].partition(":")[0]
             for session in self.sessions.values():
--- a/herongap/standins/viewer.py
+++ b/herongap/standins/viewer.py
@@ -59,7 +59,8 @@
     def post(self, patience: float, hang_up: float | None = None) -> Tried:
         """POST the offer and wait for the answer; `hang_up` seconds in, hang up instead."""
         began = self.clock()
-        self.log(self.name, "asked", identity=self.identity, target=self.target, patience=patience)
+        asked = dict(identity=self.identity, target=self.target, patience=patience, front=self.front[1])
+        self.log(self.name, "asked", **asked)
         status, kind, reply, call = 0, "", None, None
         try:
             call = Call(self.front, 2.0)
@@ -80,8 +81,9 @@
             self.far = str(candidate["iceUfrag"])
         taken = self.clock() - began
         self.log(
-            self.name, "answered", identity=self.identity, status=status, kind=kind, taken=round(taken, 4)
-        )
+            self.name, "answered", identity=self.identity, asked=began, status=status, kind=kind,
+            taken=round(taken, 4), front=self.front[1], location=self.location if status == 201 else "",
+        )  # fmt: skip
         return Tried(status, kind, taken, reply)
 
     def play(self, seconds: float, lost_after: float = 4.0) -> bool:
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,250 @@
+"""The library alone: one answer for each viewing, whatever the order of things; records replay."""
+
+import random
+
+import pytest
+from helpers import ask, charter, controller, streamer
+
+from herongap.host import Again, Answer, Host, Recorder, Repeats, State, Torn, replay
+from herongap.host.replay import explain
+from herongap.interface import Ending, Load, Repeat, Standing
+
+
+class Port:
+    """Remembers every effect."""
+
+    def __init__(self):
+        self.effects, self.answers, self.at = [], {}, None
+
+    def __getattr__(self, name):
+        return lambda *args: self.effects.append((name, *args))
+
+    def answer(self, viewing, answer):
+        assert viewing not in self.answers, "answered twice"
+        self.answers[viewing] = answer
+
+    def wake(self, at):
+        self.at = at
+
+    def last(self, name):
+        return next(e for e in reversed(self.effects) if e[0] == name)
+
+
+def hosted(record=None, **terms):
+    port = Port()
+    terms = charter(extra_free=2.0, extra_share=0.1, extra_window=5.0, **terms)
+    host = Host(0.0, 7, terms, port, Recorder(record.append) if record is not None else None)
+    host.listed(0.0, "whole", tuple(streamer(10 + i, i) for i in range(3)))
+    return host, port
+
+
+def sent(port):
+    _, ask, number, st, _, time_out = port.last("tune_in")
+    return ask.viewing, number, st, time_out
+
+
+@pytest.mark.parametrize("offset, plays", [(-0.001, True), (0.0, False), (0.001, False)])
+def test_a_start_just_before_at_and_just_after_the_time_out(offset, plays):
+    host, port = hosted()
+    host.asked(1.0, ask(1, left=0.4))
+    viewing, number, st, time_out = sent(port)
+    assert host.started(1.0 + time_out + offset, viewing, number, st, None) is plays
+    if plays:
+        assert port.answers[1].verdict == "plays"
+        return
+    assert 1 not in port.answers or port.answers[1].verdict != "plays"
+    assert ("tear_down", 1, number, st, False) in port.effects and host.counts["late"] == 1
+    assert ("call_off", 1, number, st) in port.effects
+
+
+def test_a_viewer_that_leaves_mid_set_up_is_called_off_and_a_late_start_torn_down():
+    host, port = hosted()
+    host.asked(1.0, ask(1))
+    viewing, number, st, _ = sent(port)
+    host.left(1.1, 1)
+    assert port.answers[1].verdict == "gone" and ("call_off", 1, number, st) in port.effects
+    assert not host.started(1.2, 1, number, st, None)
+    assert ("tear_down", 1, number, st, False) in port.effects and not host.module.viewings
+
+
+def test_a_drain_heard_between_decision_and_send():
+    host, port = hosted()
+    host.asked(1.0, ask(1))
+    viewing, number, st, _ = sent(port)
+    assert host.sendable(1, number)
+    host.listed(1.01, "changes", (streamer(st, st - 10, Standing.LEAVING),))
+    assert not host.sendable(1, number)
+    host.ended(1.01, 1, number, Ending.UNREACHED)
+    assert sent(port)[2] != st and host.sendable(1, number + 1)
+
+
+def test_a_seat_is_free_only_when_its_streamer_has_let_go():
+    from helpers import NEWS
+
+    host, port = hosted(packages=(NEWS._replace(seats=1),))
+    host.asked(1.0, ask(1))
+    viewing, number, st, _ = sent(port)
+    host.started(1.1, 1, number, st, None)
+    host.left(2.0, 1)
+    host.asked(2.1, ask(2))
+    assert sent(port)[0] == 1, "the seat is still taken"
+    host.torn_down(2.2, 1, number)
+    assert sent(port)[0] == 2
+    host.started(2.3, 2, 0, sent(port)[2], None)
+    host.left(3.0, 2)
+    host.asked(4.99, ask(3, left=9.0))
+    host.woke(5.01)  # its streamer never confirmed: it counts as gone after a while
+    assert sent(port)[0] == 3
+
+
+def test_a_list_that_shrinks_to_nothing_blocks_and_recovers():
+    host, port = hosted()
+    host.listed(1.0, "whole", ())
+    host.asked(1.1, ask(1))
+    while 1 not in port.answers:
+        host.woke(port.at)
+    assert port.answers[1].verdict == "blocked"
+    host.listed(9.0, "whole", tuple(streamer(10 + i, i) for i in range(3)))
+    host.asked(9.1, ask(2))
+    assert sent(port)[0] == 2
+
+
+def test_what_may_have_run_is_not_repeated_where_that_does_harm():
+    from helpers import NEWS
+
+    for how, again in (
+        (Ending.BROKEN, False),
+        (Ending.TIMED_OUT, False),
+        (Ending.UNREACHED, True),
+        (Ending.FULL, True),
+    ):
+        host, port = hosted(packages=(NEWS._replace(repeat=Repeat.HARMFUL),))
+        host.asked(1.0, ask(1))
+        viewing, number, st, _ = sent(port)
+        host.ended(1.05, 1, number, how)
+        assert (sent(port)[1] == 1) is again, how
+        assert again or port.answers[1] == Answer("aborted", cause=how)
+
+
+def test_illegal_steps_are_refused():
+    host, port = hosted()
+    life = host.asked(1.0, ask(1))
+    with pytest.raises(ValueError, match="held already"):
+        host.asked(1.0, ask(1))
+    with pytest.raises(ValueError, match="cannot become"):
+        life.move(State.CLOSING)
+    life.conclude(Answer("blocked"))
+    with pytest.raises(ValueError, match="was answered"):
+        life.conclude(Answer("plays"))
+
+
+def drive(seed, record):
+    """A random world: streamers answer anything at any time, viewers leave, lists change."""
+    r = random.Random(seed)
+    host, port = hosted(record)
+    out, now, asked = {}, 0.0, 0
+    for _ in range(1500):
+        now = round(now + r.expovariate(8), 6)
+        while port.at is not None and port.at <= now:
+            at, port.at = port.at, None
+            host.woke(at)
+        for effect in port.effects:
+            if effect[0] == "tune_in":
+                out[effect[1].viewing, effect[2]] = effect[3]
+        port.effects.clear()
+        chance = r.random()
+        if chance < 0.35:
+            asked += 1
+            host.asked(now, ask(asked, r.randint(0, 2), left=r.uniform(0.1, 3)))
+        elif chance < 0.75 and out:
+            viewing, number = r.choice(list(out))
+            st = out.pop((viewing, number))
+            load = r.choice((None, Load(link=r.uniform(0, 0.8), rack=r.uniform(0, 0.8))))
+            if r.random() < 0.85:
+                host.started(now, viewing, number, st, load)
+            else:
+                host.ended(now, viewing, number, r.choice([Ending.FULL] * 8 + list(Ending)), load)
+        elif chance < 0.85 and asked:
+            host.left(now, r.randint(1, asked))
+        elif chance < 0.9 and host.lives:
+            viewing = r.choice(list(host.lives))
+            host.torn_down(now, viewing, host.lives[viewing].number)
+        elif chance < 0.93:
+            host.share_told(now, r.randint(10, 13), r.uniform(0.35, 1))
+        elif chance < 0.96:
+            host.load_told(now, r.randint(10, 13), r.random() < 0.5, None, r.uniform(0, 1))
+        elif chance < 0.98 and host.lives:
+            viewing = r.choice(list(host.lives))
+            host.ended(now, viewing, host.lives[viewing].number, Ending.BROKEN)
+        else:
+            st = r.randint(10, 12)
+            host.listed(
+                now, "changes", (streamer(st, st - 10, r.choice([Standing.ACTIVE] * 7 + list(Standing))),)
+            )
+    for _ in range(200):
+        now = max(now, port.at)
+        host.woke(now)
+    unanswered = [vw for vw in range(1, asked + 1) if vw not in port.answers]
+    assert not unanswered and not any(life.state is State.WAITING for life in host.lives.values())
+    return host
+
+
+def test_every_viewing_gets_one_answer_and_every_record_replays():
+    for seed in range(6):
+        record = []
+        host = drive(seed, record)
+        assert all(host.counts[k] for k in ("plays", "blocked", "gone", "late")), host.counts
+        inputs, decisions, found = replay(record)
+        assert found is None and inputs > 1500 and decisions > 1000
+
+
+def test_a_record_shows_where_decisions_differ_and_why_one_was_taken():
+    record = []
+    drive(1, record)
+    place = next(i for i, line in enumerate(record) if line.startswith(b'["tune_in"'))
+    changed = [
+        line.replace(b'"tune_in"', b'"probe"') if i == place else line for i, line in enumerate(record)
+    ]
+    _, _, found = replay(changed)
+    assert found and found.recorded[0] == "probe" and found.decided[0] == "tune_in"
+    told = "\n".join(explain(record, 1))
+    assert "asked" in told and "tune_in" in told and "link 0." in told
+
+
+def test_a_record_cut_in_the_middle_of_a_line_is_read_up_to_there_and_garbage_is_named():
+    record = []
+    drive(2, record)
+    whole = b"".join(record)
+    lines = whole[: len(whole) // 2].splitlines(keepends=True)
+    assert replay(lines)[2] is None
+    with pytest.raises(Torn, match="line 5"):
+        replay([*record[:4], b"{nonsense\n", *record[4:]])
+    with pytest.raises(Torn, match="line 1"):
+        replay([b"{}\n"])
+
+
+def test_repeats_are_one_viewing_until_it_is_over():
+    repeats = Repeats(remember=10.0, most=2)
+    assert repeats.seen(0.0, ("a",), "x") == (Again.NEW, None)
+    repeats.take(("a",), "x", 1)
+    assert repeats.seen(1.0, ("a",), "x") == (Again.JOIN, 1)
+    assert repeats.seen(1.0, ("a",), "other offer") == (Again.CLASH, None)
+    repeats.drop(2.0, 1, played=False)
+    assert repeats.seen(2.0, ("a",), "x") == (Again.NEW, None), "a blocked viewer comes again"
+    repeats.take(("a",), "x", 2)
+    repeats.drop(3.0, 2, played=True)
+    assert repeats.seen(4.0, ("a",), "x") == (Again.OVER, None)
+    assert repeats.seen(13.0, ("a",), "x") == (Again.NEW, None)
+    for n in range(5):
+        repeats.take((n,), "x", n)
+        repeats.drop(20.0, n, played=True)
+    repeats.seen(20.0, (9,), "x")
+    assert len(repeats.ended) == 2, "what is remembered is bounded"
+
+
+def test_a_baseline_is_no_controller_of_the_design():
+    from herongap.rehearsal.baselines import POLICIES
+
+    c = controller()
+    ours = [name for name, make in POLICIES.items() if make.pick is type(c).pick]
+    assert ours == ["herongap"] and {"random", "least-used"} < set(POLICIES)
