--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,213 @@
+"""Files and their checks, what a front takes on, the pulse of a streamer, and the command line."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from click.testing import CliRunner
+from loopback import INI
+
+from herongap.cli import main
+from herongap.daemon.feed import Watched
+from herongap.daemon.session import read_remote
+from herongap.host.pulse import GONE, LOST, SILENT, Pulse, Word
+from herongap.http import Reply
+from herongap.ini import Faults, read_catalogue, read_list, read_site
+from herongap.intake import Bounds, Intake
+from herongap.interface import Standing
+from herongap.standins import Viewer
+
+
+def site(tmp_path, text):
+    (tmp_path / "x.ini").write_text(text)
+    return read_site(tmp_path / "x.ini")
+
+
+def test_a_front_file_becomes_a_charter(tmp_path):
+    made = site(tmp_path, INI + "[budget]\nfree = 3\nshare = 0.1\nwindow = 5\n[places]\nstd = 20\n")
+    c = made.charter
+    assert c.ladder == (100.0, 300.0, 900.0) and c.places == {"std": 20} and c.extra_free == 3
+    assert {p.name: (p.floor, p.seats) for p in c.packages}["priority"] == (1, 2)
+    assert made.defaults == {"whep": "standard", "whip": "publish"}
+    assert made.streamers.list == str(tmp_path / "streamers.json") and made.front.record.startswith(
+        str(tmp_path)
+    )
+
+
+@pytest.mark.parametrize(
+    "change, says",
+    [
+        (("linger = 0.3", "linger = soon"), r"\[front\] linger = soon: .*number"),
+        (("linger = 0.3", "lingers = 1"), r"\[front\] lingers = 1: unknown key; allowed: .*linger"),
+        (("[cold]", "[warm]"), r"\[warm\]: unknown section; allowed: .*cold"),
+        (("per_weight = 10000", ""), r"\[links\] per_weight: missing"),
+        (("values = 0.3, 0.6, 1.0", "values = 0.3, 1.0"), r"\[ladder\] values: 3 are needed"),
+        (("values = 0.3, 0.6, 1.0", "values = 0.6, 0.3, 1.0"), r"\[ladder\] values.*must not fall"),
+        (("floor = 1", "floor = 3"), r"\[package priority\] floor = 3: must be a rung \(0 to 2\)"),
+        (("listen = 127.0.0.1:0", "listen = here"), r"\[front\] listen = here: .*HOST:PORT"),
+        (("patience = 1.0", "patience = 0.1"), r"\[package priority\] join_target"),
+        (("[catalogue]\nfile = catalogue.json", ""), r"\[catalogue\]: missing; needed keys: file"),
+        (("repeat = harmful", "repeat = maybe"), r"\[package publish\] repeat = maybe: .*harmless"),
+    ],
+)
+def test_each_error_names_section_key_value_and_what_is_allowed(tmp_path, change, says):
+    assert change[0] in INI
+    with pytest.raises(Faults, match=says):
+        site(tmp_path, INI.replace(*change))
+
+
+def test_all_errors_are_told_at_once(tmp_path):
+    with pytest.raises(Faults) as found:
+        site(
+            tmp_path,
+            INI.replace("linger = 0.3", "linger = x").replace("rack = 50000", "rack = y") + "[odd]\n",
+        )
+    assert len(str(found.value).splitlines()) == 3
+
+
+def test_a_list_is_taken_whole_or_not_at_all():
+    line = {"id": "s", "url": "http://127.0.0.1:80", "started": 100.0, "standing": "leaving", "rack": "r"}
+    lines, addresses = read_list(json.dumps({"streamers": [line]}).encode(), epoch=-90.0)
+    assert lines[0].standing is Standing.LEAVING and lines[0].started == 10.0 and lines[0].rack == "r"
+    assert lines[0].cell == lines[0].shelf == "s" and addresses == {"s": ("127.0.0.1", 80)}
+    for bad in (
+        {**line, "url": "ftp://x"},
+        {**line, "weight": 0},
+        {**line, "standing": "odd"},
+        {**line, "wieght": 1},
+    ):
+        with pytest.raises(ValueError):
+            read_list(json.dumps({"streamers": [line, bad]}).encode(), 0.0)
+    with pytest.raises(ValueError, match="twice"):
+        read_list(json.dumps({"streamers": [line, line]}).encode(), 0.0)
+    shelves = read_catalogue(b'{"titles": {"a": ["s"], "*": ["t"]}}')
+    assert shelves.holders("a") == ["s"] and shelves.holders("b") == ["t"]
+    assert read_catalogue(b'{"titles": {}}').holders("b") is None
+
+
+def test_a_bad_file_leaves_the_last_good_one(tmp_path):
+    taken = []
+
+    def changed(data):
+        taken.append(json.loads(data))
+
+    path = tmp_path / "f"
+    path.write_text("[1]")
+    watched = Watched(str(path), changed, 1.0)
+    watched.read()
+    watched.read()
+    path.write_text("[1, 2")
+    with pytest.raises(ValueError):
+        watched.read()
+    path.write_text("[1, 2, 3]")
+    watched.read()
+    assert taken == [[1], [1, 2, 3]]
+
+
+def test_intake_bounds_connections_set_ups_pace_and_lag():
+    intake = Intake(
+        Bounds(connections=3, connections_a_peer=2, setting_up=5, held=10, pace=10.0, burst=3.0, lag=0.5)
+    )
+    assert [intake.connect(p) for p in "aaabb"] == [True, True, False, True, False]
+    intake.disconnect("a")
+    assert intake.connect("b") and intake.total == 3 and intake.turned_away["connection"] == 2
+    assert [intake.admit(0.0, "a", 0, 0) for _ in range(4)][:3] == [None] * 3
+    kind, wait = intake.admit(0.0, "a", 0, 0)
+    assert kind == "too-fast" and 0 < wait <= 0.1
+    assert intake.admit(0.0, "b", 0, 0) is None, "one peer's pace is no other's"
+    assert intake.admit(0.11, "a", 0, 0) is None
+    assert intake.admit(9.0, "a", 5, 0)[0] == intake.admit(9.0, "a", 0, 10)[0] == "overloaded"
+    for _ in range(20):
+        intake.lagged(2.0)
+    assert intake.admit(9.0, "a", 0, 0)[0] == "overloaded"
+    for _ in range(20):
+        intake.lagged(0.0)
+    assert intake.admit(9.0, "a", 0, 0) is None, "calm again"
+    intake.stopping = True
+    assert intake.admit(9.0, "a", 0, 0)[0] == "stopping"
+    intake.stopping = False
+    for n in range(intake.PEERS + 50):
+        intake.admit(10.0, f"p{n}", 0, 0)
+    assert len(intake.buckets) == intake.PEERS
+
+
+def test_the_pulse_of_a_streamer():
+    pulse = Pulse(0.0)
+    assert pulse.word(SILENT - 0.1) is Word.FINE and pulse.word(SILENT) is Word.SILENT
+    assert pulse.word(LOST) is Word.LOST
+    pulse.spoke(LOST)
+    assert pulse.word(LOST) is Word.FINE
+    assert not pulse.broke(10.0, unknown=False) and not pulse.broke(10.0 + GONE - 0.1, unknown=False)
+    assert pulse.broke(10.0 + GONE, unknown=False) and Pulse(0.0).broke(0.0, unknown=True)
+    pulse.spoke(12.0)
+    assert not pulse.broke(12.0, unknown=False), "a stream that came back starts anew"
+
+
+def test_a_streamers_links_lead_nowhere_else():
+    def remote(location, *links):
+        return read_remote(
+            "s", "/whep/1", Reply(201, (("Location", location), *(("Link", v) for v in links)), b"sdp")
+        )
+
+    assert remote("../r/1").path == "/r/1" and remote("/r/1?x=1").path == "/r/1?x=1"
+    assert remote("http://elsewhere/r/1") is None and remote("//elsewhere/r/1") is None and remote("") is None
+    layer = 'rel="urn:ietf:params:whep:ext:core:layer"'
+    assert (
+        remote("/r/1", f"</l>; {layer}").layer == "/l"
+        and remote("/r/1", f"<http://x/l>; {layer}").layer == ""
+    )
+
+
+def test_check_and_help(tmp_path):
+    run = CliRunner()
+    (tmp_path / "x.ini").write_text(INI)
+    bad = run.invoke(main, ["check", str(tmp_path / "x.ini")])
+    assert bad.exit_code == 1 and "streamers.json" in bad.output and "catalogue.json" in bad.output
+    (tmp_path / "streamers.json").write_text('{"streamers": []}')
+    (tmp_path / "catalogue.json").write_text('{"titles": {}}')
+    assert run.invoke(main, ["check", str(tmp_path / "x.ini")]).exit_code == 0
+    assert run.invoke(main, ["check", "deploy/front.ini"]).exit_code == 0, "the sample must pass"
+    listed = run.invoke(main, ["--help"]).output
+    assert all(f"  {name} " in listed for name in ("serve", "demo", "check", "rehearse", "replay", "explain"))
+    (tmp_path / "r").write_bytes(b"nonsense\n")
+    assert run.invoke(main, ["replay", str(tmp_path / "r")]).exit_code == 2
+    (tmp_path / "day.json").write_text('{"troubles": []}')
+    assert run.invoke(main, ["rehearse", "--bench-day", str(tmp_path / "day.json")]).exit_code == 2
+
+
+def demo(*more):
+    process = subprocess.Popen(
+        [sys.executable, "-m", "herongap.cli", "demo", *more], stdout=subprocess.PIPE, text=True
+    )
+    line = process.stdout.readline()
+    assert line.startswith("listening http://127.0.0.1:"), line
+    return process, ("127.0.0.1", int(line.rsplit(":", 1)[1]))
+
+
+def test_demo_serves_without_credentials_until_a_signal():
+    process, address = demo("--streamers", "3")
+    try:
+        log = lambda *args, **details: None  # noqa: E731
+        viewer = Viewer("v", address, "/whep/20", log)
+        assert viewer.post(5).status == 201
+        assert Viewer("p", address, "/whip/1", log, direction="sendonly").post(5).status == 201
+        assert Viewer("u", address, "/whep/21", log).post(5).status == 404
+        began = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=15) == 0 and time.monotonic() - began < 12
+    finally:
+        process.kill()
+
+
+def test_a_second_signal_ends_at_once():
+    process, address = demo("--streamers", "1")
+    try:
+        # Its own stop waits for what is being set up; a second signal does not.
+        process.send_signal(signal.SIGINT)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=10) in (0, 1)
+    finally:
+        process.kill()
--- /dev/null
+++ b/tests/test_protocols.py
@@ -0,0 +1,162 @@
+"""Protocols without I/O: what they take, what they refuse, and that nothing else comes out of them."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from herongap.http import (
+    Reply,
+    Request,
+    bearer,
+    kind_of,
+    link,
+    problem,
+    read_links,
+    tag_matches,
+    wait_preferred,
+)
+from herongap.interface import Load
+from herongap.orca import read_load, write_load
+from herongap.sdp import BadSdp, Endpoint, answer, offer, read_fragment, read_offer
+from herongap.sdp.fragment import Fragment, write_fragment
+from herongap.whep import EventReader, read_layer, write_event, write_layer
+from herongap.whip import Resource
+
+ME = Endpoint("abcd", "p" * 24, ":".join(["AB"] * 32), "127.0.0.1", 5000, 4711)
+OFFER = offer(ME, "recvonly")
+
+
+def test_an_independent_webrtc_stack_takes_offers_and_answers_of_both_ends():
+    aiortc = pytest.importorskip("aiortc")
+
+    async def exchange():
+        theirs = aiortc.RTCPeerConnection()
+        theirs.addTransceiver("video", direction="recvonly")
+        theirs.addTransceiver("audio", direction="recvonly")
+        await theirs.setLocalDescription(await theirs.createOffer())
+        offered = read_offer(theirs.localDescription.sdp.encode(), "recvonly")
+        await theirs.setRemoteDescription(aiortc.RTCSessionDescription(answer(offered, ME), "answer"))
+        states = [theirs.signalingState]
+        await theirs.close()
+        far = aiortc.RTCPeerConnection()
+        await far.setRemoteDescription(aiortc.RTCSessionDescription(OFFER, "offer"))
+        await far.setLocalDescription(await far.createAnswer())
+        states.append(far.signalingState)
+        await far.close()
+        return states
+
+    assert asyncio.run(exchange()) == ["stable", "stable"]
+
+
+def test_identity_is_the_same_for_copies_and_differs_between_offers():
+    first = read_offer(OFFER.encode(), "recvonly").identity
+    assert first == read_offer(OFFER.replace("candidate:1 1", "candidate:2 1").encode(), "recvonly").identity
+    other = offer(ME._replace(ufrag="efgh"), "recvonly")
+    assert first != read_offer(other.encode(), "recvonly").identity
+
+
+@pytest.mark.parametrize(
+    "change, says",
+    [
+        (("v=0", "v=1"), "line 1"),
+        (("a=setup:actpass", "a=setup:passive"), "setup"),
+        (("a=rtcp-mux", "a=x"), "rtcp-mux"),
+        (("a=group:BUNDLE 0 1", "a=group:BUNDLE 0"), "BUNDLE"),
+        (("a=recvonly", "a=sendonly"), "recvonly"),
+        (("a=ice-ufrag:abcd", "a=ice-ufrag:ab"), "RFC 8839"),
+        (("m=audio", "m=application"), "application"),
+        (("a=rtpmap:111 opus/48000/2", "a=x"), "codec"),
+        (("s=-", "!=-"), "line 3"),
+    ],
+)
+def test_a_bad_offer_is_refused_with_its_reason(change, says):
+    with pytest.raises(BadSdp, match=says):
+        read_offer(OFFER.replace(*change).encode(), "recvonly")
+
+
+@settings(max_examples=200)
+@given(st.binary(max_size=300), st.integers(0, len(OFFER)))
+def test_no_bytes_make_the_readers_fail_otherwise(noise, at):
+    for body in (noise, OFFER[:at].encode() + noise + OFFER[at:].encode()):
+        for read in (lambda b: read_offer(b, "recvonly"), read_fragment):
+            with contextlib.suppress(BadSdp):
+                read(body)
+    with contextlib.suppress(ValueError):
+        read_layer(noise, 3)
+    read_load("JSON " + noise.decode("latin-1"))
+    read_links(noise.decode("latin-1"))
+
+
+@settings(max_examples=100)
+@given(st.lists(st.integers(1, 40), max_size=30))
+def test_events_are_the_same_however_the_stream_is_split(cuts):
+    events = [
+        ("load", {"link": 0.5}),
+        ("delivery", {"share": 0.9}),
+        ("inactive", {"resource": "/r/1", "reason": "x"}),
+    ]
+    stream = b":\n\n" + b"".join(write_event(*e) for e in events) + b"data: not json\n\n"
+    reader, got, at = EventReader(), [], 0
+    for cut in cuts:
+        got += reader.feed(stream[at : at + cut])
+        at += cut
+    assert got + reader.feed(stream[at:]) == events
+    with pytest.raises(ValueError, match="without an end"):
+        EventReader().feed(b"x" * 70000)
+
+
+@given(st.floats(0, 50), st.floats(0, 50))
+def test_loads_go_there_and_back(link_ratio, rack):
+    read = read_load(write_load(Load(link_ratio, None, rack)))
+    assert abs(read.link - link_ratio) < 1e-3 and abs(read.rack - rack) < 1e-3
+
+
+def test_a_load_that_is_no_figure_is_absent():
+    assert read_load('JSON {"named_metrics": {"link": "1", "rack": true}}') is None
+    assert read_load('JSON {"named_metrics": {"link": -1}, "application_utilization": 0.7}') == Load(
+        None, 0.7, None
+    )
+    assert read_load("TEXT x=1") is None and read_load(None) is None
+    assert read_load('JSON {"named_metrics": {"link": NaN, "rack": Infinity}}') is None
+
+
+def patch(body, tag, kind="application/trickle-ice-sdpfrag"):
+    headers = {"content-type": kind, **({"if-match": tag} if tag else {})}
+    return Request("PATCH", "/r/1", headers, body)
+
+
+def test_ice_sessions_and_their_tags():
+    resource = Resource("x", "abcd", ME)
+    old = resource.tag
+    mine = write_fragment(Fragment("abcd", "p" * 24, (("0", "1 1 udp 1 127.0.0.1 9 typ host"),), False))
+    assert resource.patch(patch(mine, old), ME).status == 204 and len(resource.candidates) == 1
+    assert resource.patch(patch(mine, '"other"'), ME).status == 412
+    assert resource.patch(patch(mine, ""), ME).status == 428
+    assert resource.patch(patch(mine, old, "text/plain"), ME).status == 415
+    assert resource.patch(patch(mine, "*"), ME).status == 400, "a restart needs new credentials"
+    again = write_fragment(Fragment("wxyz", "q" * 24, (), False))
+    restarted = resource.patch(patch(again, "*"), ME._replace(ufrag="newu"))
+    assert restarted.status == 200 and b"newu" in restarted.body and resource.tag != old
+    assert resource.patch(patch(mine, old), ME).status == 412, "the old ICE session's fragments are stale"
+    assert resource.patch(patch(again, resource.tag), ME).status == 204
+
+
+def test_headers():
+    request = Request("POST", "/whep/a%2Fb?top=1&top=2", {
+        "authorization": "Bearer abc", "if-match": '"a", "b"', "prefer": "respond-async, wait=2.5",
+    })  # fmt: skip
+    assert request.path == ["whep", "a/b"] and request.query == {"top": "2"}
+    assert bearer(request) == "abc" and bearer(Request("GET", "/", {"authorization": "Basic x"})) is None
+    assert tag_matches(request, '"b"') and not tag_matches(request, '"c"') and wait_preferred(request) == 2.5
+    (found,) = read_links(link("/e?a=1,2", "x:y", events="a,b")[1])
+    assert (found.url, found.rel, found.params) == ("/e?a=1,2", "x:y", {"events": "a,b"})
+    told = problem("blocked", "full", come_back=0.5)
+    assert (
+        told.status == 503 and kind_of(told.body) == "blocked" and json.loads(told.body)["come_back"] == 0.5
+    )
+    assert kind_of(b"[]") == kind_of(b"\xff") == "" and Reply(200).header("x") is None
+    assert read_layer(write_layer(2), 3) == 2
