--- /dev/null
+++ b/benchmarks/front.py
@@ -0,0 +1,214 @@
+"""What the decisions cost: our front beside a pass-through front of ours, in turn, in one run.
+
+    python benchmarks/front.py [--rounds 3] [--held 1,100,1000]
+
+Simulated streamers answer at once; they, the front and the load are processes of their own on this machine.
+Printed: join time (p50, p99) at a rate that both bear easily while so many viewings are held, as ratios; the
+rate that each bears (99% answered with 201 within half a second); at twice that rate, the share answered in
+time; memory a held viewing. Ratios are medians over the rounds with their least and greatest.
+"""
+
+import json
+import statistics
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+HERE = Path(__file__).parent
+KIND = {
+    "ladder": [1.0, 2.0], "values": [0.5, 1.0], "link": 1e9, "rack": 1e9, "places": 100000,
+    "set_up": [0.0, 0.0],
+    "join_wait": 1e9, "consent": 1e9, "tell": 5.0,
+}  # fmt: skip
+INI = """
+[front]
+listen = 127.0.0.1:0
+log_level = error
+[limits]
+connections = 100000
+connections_a_peer = 100000
+setting_up = {setting_up}
+pace = 1000000
+burst = 1000000
+[ladder]
+rates = 1, 2
+values = 0.5, 1
+[package standard]
+join_target = 1.5
+patience = 5
+[links]
+per_weight = 1e9
+rack = 1e9
+[streamers]
+list = streamers.json
+[catalogue]
+file = catalogue.json
+"""
+
+
+class Rig:
+    """Streamers in two processes, and a front started anew for each figure."""
+
+    def __init__(self, folder: Path, streamers: int):
+        self.folder, self.farms, lines = folder, [], []
+        for n in range(2):
+            names = [[f"s{n}-{i}", "", f"r{n}-{i}"] for i in range(streamers // 2)]
+            what = {"kind": KIND, "seed": n, "log": "/dev/null", "streamers": names}
+            (folder / f"farm{n}.json").write_text(json.dumps(what))
+            farm = subprocess.Popen(
+                [sys.executable, "-m", "herongap.rehearsal.farm", str(folder / f"farm{n}.json")],
+                stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+            )  # fmt: skip
+            self.farms.append(farm)
+            for name, (host, port) in json.loads(farm.stdout.readline()).items():
+                lines.append({"id": name, "url": f"http://{host}:{port}"})
+        (folder / "streamers.json").write_text(json.dumps({"streamers": lines}))
+        (folder / "catalogue.json").write_text(json.dumps({"titles": {"*": [line["id"] for line in lines]}}))
+
+    def front(self, kind: str, setting_up: int = 100000) -> tuple[subprocess.Popen, int]:
+        file = self.folder / f"{kind}.ini"
+        file.write_text(INI.format(setting_up=setting_up))
+        ours = ["-m", "herongap.rehearsal.controller", str(file), "herongap"]
+        command = ours if kind == "herongap" else [str(HERE / "passthrough.py"), str(file)]
+        front = subprocess.Popen([sys.executable, *command], stdout=subprocess.PIPE, text=True)
+        return front, int(front.stdout.readline().rsplit(":", 1)[1])
+
+    def close(self) -> None:
+        for farm in self.farms:
+            farm.stdin.close()
+            farm.wait()
+
+
+def load(port: int, rate: float, seconds: float, hold: float, processes: int = 2) -> list[list[float]]:
+    """What came of an open-loop load, over some processes."""
+    running = [
+        subprocess.Popen(
+            [sys.executable, str(HERE / "load.py"), *map(str, (port, rate / processes, seconds, hold, seed))],
+            stdout=subprocess.PIPE, text=True,
+        )
+        for seed in range(processes)
+    ]  # fmt: skip
+    return [pair for process in running for pair in json.loads(process.communicate()[0])]
+
+
+def quantile(times: list[float], part: float) -> float:
+    times = sorted(times)
+    return times[min(len(times) - 1, int(part * len(times)))]
+
+
+def rss(process: subprocess.Popen) -> int:
+    """Resident kilobytes of a process."""
+    lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
+
+
+class Holder:
+    """Viewings held from a process of their own while a figure is taken."""
+
+    def __init__(self, port: int, count: int):
+        seconds = max(1.0, count / 200)
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                str(HERE / "load.py"),
+                str(port),
+                str(count / seconds),
+                str(seconds),
+                "600",
+                "99",
+            ],
+            stdout=subprocess.DEVNULL,
+        )
+        subprocess.run(["sleep", str(seconds + 2)], check=True)
+
+    def release(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+def joins(rig: Rig, kind: str, held: int, rate: float) -> tuple[float, float, float]:
+    front, port = rig.front(kind)
+    try:
+        load(port, 20, 1, 0.0, 1)
+        before = rss(front)
+        holder = Holder(port, held)
+        kb = (rss(front) - before) / held
+        times = [taken for status, taken in load(port, rate, 6, 0.05) if status == 201]
+        holder.release()
+        return quantile(times, 0.5), quantile(times, 0.99), kb
+    finally:
+        front.kill()
+        front.wait()
+
+
+def bears(rig: Rig, kind: str) -> float:
+    best, rate = 0.0, 100.0
+    while rate <= 1600:
+        front, port = rig.front(kind)
+        try:
+            got = load(port, rate, 4, 0.05, 3)
+        finally:
+            front.kill()
+            front.wait()
+        if sum(status == 201 and taken <= 0.5 for status, taken in got) < 0.99 * len(got):
+            break
+        best, rate = rate, round(rate * 1.15)
+    return best
+
+
+@click.command()
+@click.option("--rounds", default=3)
+@click.option("--held", default="1,100,1000")
+@click.option("--rate", default=40.0)
+@click.option("--streamers", default=8)
+def main(rounds: int, held: str, rate: float, streamers: int) -> None:
+    """Take all figures and print them."""
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(Path(folder), streamers)
+        try:
+            for count in map(int, held.split(",")):
+                both = [
+                    [joins(rig, kind, count, rate) for kind in ("herongap", "passthrough")]
+                    for _ in range(rounds)
+                ]
+                for name, at in (("p50", 0), ("p99", 1)):
+                    ratios = sorted(ours[at] / theirs[at] for ours, theirs in both)
+                    mine, other = (statistics.median(pair[i][at] for pair in both) * 1000 for i in (0, 1))
+                    click.echo(
+                        f"held {count}: join {name} {mine:.2f} ms, pass-through {other:.2f} ms, ratio "
+                        f"{statistics.median(ratios):.2f} ({ratios[0]:.2f} to {ratios[-1]:.2f})"
+                    )
+                kb = [statistics.median(pair[i][2] for pair in both) for i in (0, 1)]
+                click.echo(f"held {count}: {kb[0]:.0f} kB a viewing, pass-through {kb[1]:.0f} kB")
+            rates = [(bears(rig, "herongap"), bears(rig, "passthrough")) for _ in range(rounds)]
+            ratios = sorted(a / b for a, b in rates)
+            ours = statistics.median(a for a, _ in rates)
+            theirs = statistics.median(b for _, b in rates)
+            click.echo(
+                f"bears {ours:.0f} viewings a second, pass-through {theirs:.0f}, "
+                f"ratio {statistics.median(ratios):.2f} ({ratios[0]:.2f} to {ratios[-1]:.2f})"
+            )
+            for setting_up in (100000, 500):
+                shares = []
+                for _ in range(rounds):
+                    front, port = rig.front("herongap", setting_up)
+                    got = load(port, 2 * ours, 6, 0.05, 4)
+                    front.kill()
+                    front.wait()
+                    answered = sum(s != 0 and taken <= 1.5 for s, taken in got) / len(got)
+                    plays = sum(s == 201 and taken <= 1.5 for s, taken in got) / len(got)
+                    shares.append((answered, plays))
+                answered, plays = (statistics.median(s[i] for s in shares) for i in (0, 1))
+                click.echo(
+                    f"at {2 * ours:.0f} a second, {setting_up} set-ups at once: {answered:.2f} answered within "
+                    f"the join target, {plays:.2f} of all play within it"
+                )
+        finally:
+            rig.close()
+
+
+if __name__ == "__main__":
+    main()
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -12,10 +12,12 @@
 from herongap.daemon.feed import Watched, epoch
 from herongap.daemon.front import Front
 from herongap.daemon.streamers import Streamers
-from herongap.daemon.wire import Address, Server, listen
+from herongap.daemon.wire import Address, Peer, Server, listen
 from herongap.host import Host, Recorder, State
+from herongap.http import Reply, Request, problem
 from herongap.ini import Site, read_catalogue, read_list
 from herongap.intake import Intake
+from herongap.observe.metrics import TEXT, Figures
 from herongap.rules import Controller
 
 log = structlog.get_logger()
@@ -42,6 +44,8 @@
         self.titles = Watched(site.catalogue.file, self._catalogued, 1.0)
         self.front: Front | None = None
         self.server: Server | None = None
+        self.metrics: Server | None = None
+        self._figures = Figures(self.host, self.intake)
         self._greenlets: list = []
         self.stopped = Event()
 
@@ -57,6 +61,9 @@
         self.front = Front(site, self.host, self.port, self.intake, self.catalogue, self.clock)
         host, _, port = site.front.listen.rpartition(":")
         self.server = Server(listen((host, int(port))), self.front.handle, site.bounds, self.intake)
+        if site.front.metrics:
+            host, _, port = site.front.metrics.rpartition(":")
+            self.metrics = Server(listen((host, int(port))), self._scraped, site.bounds)
         runs = (self.port.run, self.list.run, self.titles.run, self._beat)
         self._greenlets = [gevent.spawn(run) for run in runs]
         log.info("listening", address="{}:{}".format(*self.address), name=self.name)
@@ -82,8 +89,9 @@
 
     def kill(self) -> None:
         """Close everything at once."""
-        if self.server:
-            self.server.close()
+        for server in (self.server, self.metrics):
+            if server:
+                server.close()
         for greenlet in self._greenlets:
             greenlet.kill(block=False)
         self.port.close()
@@ -109,6 +117,11 @@
         if self.front:
             self.front.catalogue = self.catalogue
 
+    def _scraped(self, request: Request, peer: Peer) -> Reply:
+        if request.path != ["metrics"] or request.method not in ("GET", "HEAD"):
+            return problem("no-such-page")
+        return Reply(200, (("Content-Type", TEXT),), self._figures.text())
+
     def _beat(self) -> None:
         while True:
             gevent.sleep(0.5)
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -57,6 +57,7 @@
     log_format: Literal["json", "console"] = "console"
     log_to: str = "-"
     stop_within: Seconds = 10.0
+    metrics: Annotated[str, AfterValidator(lambda value: value and _address(value))] = ""
     ice_servers: Words = []
 
 
--- /dev/null
+++ b/herongap/observe/metrics.py
@@ -0,0 +1,55 @@
+"""Counters and gauges of one front for Prometheus, read when they are scraped; nothing is counted twice."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+TEXT = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class Figures:
+    """Reads a host's and an intake's own books; `host` and `intake` are those of a daemon."""
+
+    def __init__(self, host, intake):
+        self.host, self.intake = host, intake
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+
+    def text(self) -> bytes:
+        """All metrics in the text format."""
+        return generate_latest(self.registry)
+
+    def collect(self) -> Iterator:
+        counts = self.host.counts
+        verdicts = CounterMetricFamily(
+            "herongap_answers", "Viewings answered, by verdict", labels=["verdict"]
+        )
+        for verdict in ("plays", "blocked", "aborted", "gone"):
+            verdicts.add_metric([verdict], counts[verdict])
+        yield verdicts
+        yield CounterMetricFamily("herongap_viewings", "Viewings taken", value=counts["asked"])
+        yield CounterMetricFamily("herongap_tune_ins", "Tune-ins sent to streamers", value=counts["tune_ins"])
+        yield CounterMetricFamily(
+            "herongap_late_starts", "Starts torn down as too late", value=counts["late"]
+        )
+        refused = CounterMetricFamily(
+            "herongap_turned_away", "Requests not taken, by cause", labels=["cause"]
+        )
+        for cause, count in sorted(self.intake.turned_away.items()):
+            refused.add_metric([cause], count)
+        yield refused
+        held = GaugeMetricFamily("herongap_held", "Viewings held now, by state", labels=["state"])
+        for state, count in sorted(Counter(life.state.value for life in self.host.lives.values()).items()):
+            held.add_metric([state], count)
+        yield held
+        yield GaugeMetricFamily("herongap_connections", "Connections of clients", value=self.intake.total)
+        yield GaugeMetricFamily("herongap_lag_seconds", "How late the process is", value=self.intake.behind)
+        listed = Counter(standing.name.lower() for standing in self.host.standing.values())
+        streamers = GaugeMetricFamily(
+            "herongap_streamers", "Streamers listed, by standing", labels=["standing"]
+        )
+        for standing, count in sorted(listed.items()):
+            streamers.add_metric([standing], count)
+        yield streamers
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,10 +9,12 @@
 from gevent import socket
 from loopback import World
 
+from herongap.daemon.run import Daemon
 from herongap.daemon.wire import Call
 from herongap.host import replay
 from herongap.host.life import State
 from herongap.http import kind_of
+from herongap.ini import read_site
 from herongap.sdp import offer
 
 
@@ -216,9 +218,6 @@
             (folder / "front.ini").write_text(
                 ini.replace("controllers", f"number = {number}\ncontrollers", 1)
             )
-        from herongap.daemon.run import Daemon
-        from herongap.ini import read_site
-
         w.daemon.kill()
         w.order("start")
         daemons = [Daemon(read_site(folder / "front.ini")) for folder in folders]
@@ -245,6 +244,24 @@
     assert w.viewer("x", "/whep/1?package=nope").post(2).kind == "not-allowed"
 
 
+def test_metrics_are_served_apart_from_viewers(world):
+    w = world()
+    w.daemon.kill()
+    ini = w.folder / "front.ini"
+    ini.write_text(ini.read_text().replace("[front]", "[front]\nmetrics = 127.0.0.1:0"))
+    w.daemon = Daemon(read_site(ini))
+    w.daemon.start()
+    assert w.viewer().post(2).status == 201
+    text = w.viewer("m").call("GET", target="/metrics").body
+    assert b"no-such-page" in text, "viewers see no metrics"
+    scraper = w.viewer("s")
+    scraper.front = w.daemon.metrics.address
+    text = scraper.call("GET", target="/metrics").body.decode()
+    assert (
+        'herongap_answers_total{verdict="plays"} 1.0' in text and 'herongap_held{state="playing"} 1.0' in text
+    )
+
+
 def test_tokens_map_to_members_and_packages(world):
     w = world(extra="[token desk]\nsecret = letmein-please\nmember = desk\npackages = standard\n")
     assert w.viewer("a").post(2).kind == "no-credentials"
