The fleet model: the library's controllers, machines and viewers in virtual time

Change: herongap/fleet plays the same script as a rehearsal, with the same machines as the stand-ins (links, racks, warm-up, accounts moved out of the stand-ins into fleet/machine.py), and writes lines of the same shape, so one checker and one report judge both. Baselines differ from the design in the holder taken alone; one is blind.

--- a/benchmarks/front.py
+++ b/benchmarks/front.py
@@ -203,8 +203,8 @@
                     shares.append((answered, plays))
                 answered, plays = (statistics.median(s[i] for s in shares) for i in (0, 1))
                 click.echo(
-                    f"at {2 * ours:.0f} a second, {setting_up} set-ups at once: {answered:.2f} answered within "
-                    f"the join target, {plays:.2f} of all play within it"
+                    f"at {2 * ours:.0f} a second, {setting_up} set-ups at once: {answered:.2f} answered "
+                    f"within the join target, {plays:.2f} of all play within it"
                 )
         finally:
             rig.close()
--- a/herongap/cli/rehearse.py
+++ b/herongap/cli/rehearse.py
@@ -18,7 +18,7 @@
 @click.argument("file", type=FILE, required=False)
 @click.option("--bench-day", type=FILE, help="Take the troubles of a drawn bench day instead of FILE.")
 @click.option("--seed", default=1, show_default=True, help="The same seed plays the same script.")
-@click.option("--policy", default="herongap", show_default=True, help="herongap, random or least-used.")
+@click.option("--policy", default="herongap", show_default=True, help="Or a baseline, such as random.")
 @click.option(
     "--folder", type=click.Path(file_okay=False, path_type=Path), help="Keep logs and records here."
 )
@@ -31,7 +31,7 @@
     1 if not, 2 if the day cannot be played.
     """
     from herongap import rehearsal
-    from herongap.rehearsal.baselines import POLICIES
+    from herongap.fleet.baselines import POLICIES
 
     if (file is None) == (bench_day is None):
         raise click.UsageError("give FILE or --bench-day")
--- a/herongap/cli/serve.py
+++ b/herongap/cli/serve.py
@@ -115,8 +115,8 @@
         farm = Farm(kind, Log(lambda line: None), seed=1)
         all_of_them = [Streamer(farm, f"s{i}", "a", f"rack{i % 2}") for i in range(streamers)]
         lines = [
-            {"id": st.name, "url": "http://{}:{}".format(*st.address), "zone": st.zone, "rack": st.rack}
-            for st in all_of_them
+            {"id": st.name, "url": "http://{}:{}".format(*st.address), "zone": "a", "rack": f"rack{i % 2}"}
+            for i, st in enumerate(all_of_them)
         ]
         (near / "streamers.json").write_text(json.dumps({"streamers": lines}))
         names = [st.name for st in all_of_them]
--- /dev/null
+++ b/herongap/fleet/baselines.py
@@ -0,0 +1,65 @@
+"""Other ways to place, for comparison alone; the rules are kept by the module's own parts in all of them.
+
+`random`, `round-robin`, `least-used` and `two-choices` differ from the design in one point: which of the
+holders with room is taken. Rungs, cuts, raises and blocking stay. `blind` leaves out loads as well: any
+ready holder by chance, always on the highest rung that the viewer can use, never cut; what a front without
+estimates would do.
+"""
+
+from herongap.rules import Controller
+
+
+class RandomHolder(Controller):
+    """Any holder with room, by chance."""
+
+    def pick(self, now, vw, room):
+        return room[int(self.chance() * len(room))]
+
+
+class RoundRobin(Controller):
+    """The holders with room in turn, by sorted ids, one turn for each package."""
+
+    def pick(self, now, vw, room):
+        room = sorted(room, key=lambda st: st.line.streamer)
+        last = self.turn.get(vw.package.name)
+        st = room[0] if last is None else next((st for st in room if st.line.streamer > last), room[0])
+        self.turn[vw.package.name] = st.line.streamer
+        return st
+
+
+class LeastUsed(Controller):
+    """The holder with room that has the fewest of this controller's own viewings."""
+
+    def pick(self, now, vw, room):
+        return min(room, key=lambda st: (len(st.held), self.chance()))
+
+
+class TwoChoices(Controller):
+    """Of two holders with room, drawn by chance, the one with fewer own viewings (Mitzenmacher, 2001)."""
+
+    def pick(self, now, vw, room):
+        drawn = [room[int(self.chance() * len(room))] for _ in range(2)]
+        return min(drawn, key=lambda st: len(st.held))
+
+
+class Blind(RandomHolder):
+    """Sees every ready holder as empty."""
+
+    def use(self, now, st, more=0.0):
+        return 0.0
+
+    def cut(self, now, st):
+        return None
+
+    def raise_one(self, now, st):
+        return None
+
+
+POLICIES = {
+    "herongap": Controller,
+    "random": RandomHolder,
+    "round-robin": RoundRobin,
+    "least-used": LeastUsed,
+    "two-choices": TwoChoices,
+    "blind": Blind,
+}
--- a/herongap/rehearsal/day.py
+++ b/herongap/fleet/day.py
@@ -20,6 +20,9 @@
 )  # fmt: skip
 
 
+LOOK = 0.05  # seconds between two looks of a controller at its list
+
+
 class Size(Part):
     """The [day] section."""
 
@@ -320,3 +323,44 @@
         out += [told(at, "leaving", names), farm(stop, "die", names), told(stop, "left", names)]
         out += [farm(stop + 0.5, "start", names), told(stop + 0.5, "started", names)]
     return out
+
+
+def farm_kind(day: Day) -> dict:
+    m = day.machines
+    return {
+        "ladder": day.size.rates,
+        "values": day.size.values,
+        "link": m.link,
+        "rack": m.rack,
+        "places": m.places,
+        "full_from": m.full_from,
+        "warm_up": m.warm_up,
+        "cold_start": m.cold_start,
+        "fall_multiple": m.fall_multiple,
+        "tip_after": m.tip_after,
+        "told_late": m.told_late,
+        "tell": m.tell,
+    }
+
+
+def front_ini(day: Day, number: int, seed: int, folder: Path) -> str:
+    """The INI file of one controller of a day."""
+    s, m = day.size, day.machines
+    lines = [
+        "[front]", "listen = 127.0.0.1:0", f"number = {number}", f"controllers = {s.controllers}",
+        f"zone = z{number % s.zones}", f"seed = {seed * 1000 + number}", "log_level = info",
+        "log_format = json", f"log_to = {folder / f'controller-{number}.log'}",
+        f"record = {folder / '{name}.record'}",
+        "[limits]", "pace = 100000", "burst = 100000", "connections_a_peer = 100000", "connections = 100000",
+        "[ladder]", f"rates = {', '.join(map(str, s.rates))}", f"values = {', '.join(map(str, s.values))}",
+        "[links]", f"per_weight = {m.link}", f"rack = {m.rack}", f"told_late = {m.told_late}",
+        f"full_from = {m.full_from}",
+        "[cold]", f"warm_up = {m.warm_up}", f"start = {m.cold_start}", f"fall_multiple = {m.fall_multiple}",
+        "[places]", f"std = {m.places}",
+        "[budget]", f"free = {s.extra_free}", f"share = {s.extra_share}", f"window = {s.extra_window}",
+        "[streamers]", "list = streamers.json", f"look = {LOOK}", "[catalogue]", "file = catalogue.json",
+    ]  # fmt: skip
+    for name, package in day.packages.items():
+        lines.append(f"[package {name}]")
+        lines += [f"{key} = {value}" for key, value in package.model_dump().items() if key != "share"]
+    return "\n".join(lines) + "\n"
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -181,12 +181,20 @@
 
 def read_site(path: Path) -> Site:
     """Read and check a front's file; relative paths in it are taken from its folder. Raises Faults."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as fault:
+        raise Faults(f"{path}: {fault}") from fault
+    return parse_site(text, path)
+
+
+def parse_site(text: str, path: Path) -> Site:
+    """Check the text of a front's file, which stands at `path`. Raises Faults."""
     parser = configparser.ConfigParser(interpolation=None, strict=True)
     parser.optionxform = str
     try:
-        with open(path, encoding="utf-8") as file:
-            parser.read_file(file)
-    except (OSError, UnicodeDecodeError, configparser.Error) as fault:
+        parser.read_string(text)
+    except configparser.Error as fault:
         raise Faults(f"{path}: {fault}") from fault
     faults: list[str] = []
     parts: dict[str, Part] = {}
--- a/herongap/rehearsal/__init__.py
+++ b/herongap/rehearsal/__init__.py
@@ -3,9 +3,9 @@
 The checker reads only what the stand-in streamers and the clients saw on their sockets.
 """
 
+from herongap.fleet.day import Day, read_day, script
 from herongap.rehearsal.bench import Unplayable, from_bench
 from herongap.rehearsal.checker import Break, check
-from herongap.rehearsal.day import Day, read_day, script
 from herongap.rehearsal.report import Report, report
 from herongap.rehearsal.stage import Outcome, play
 
--- a/herongap/rehearsal/bench.py
+++ b/herongap/rehearsal/bench.py
@@ -7,7 +7,7 @@
 
 import math
 
-from herongap.rehearsal.day import Clients, Day, Machines, Share_, Size, Trouble
+from herongap.fleet.day import Clients, Day, Machines, Share_, Size, Trouble
 
 STREAMERS, CONTROLLERS, RATE = 16, 4, 45.0
 REPEATS = {"safe": "harmless", "keyed": "in_group", "unsafe": "harmful"}
--- a/herongap/rehearsal/checker.py
+++ b/herongap/rehearsal/checker.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from herongap.rehearsal.day import zone_of
-from herongap.rehearsal.stage import LOOK, Outcome
+from herongap.fleet.day import LOOK, zone_of
+from herongap.rehearsal.stage import Outcome
 
 # Two sockets of one exchange are read by different processes; what one does before another may be seen after
 # it.
--- a/herongap/rehearsal/controller.py
+++ b/herongap/rehearsal/controller.py
@@ -7,8 +7,8 @@
 
 from herongap import observe
 from herongap.daemon.run import Daemon, until_signal
+from herongap.fleet.baselines import POLICIES
 from herongap.ini import read_site
-from herongap.rehearsal.baselines import POLICIES
 
 
 def main(file: str, policy: str) -> None:
--- a/herongap/rehearsal/stage.py
+++ b/herongap/rehearsal/stage.py
@@ -18,11 +18,20 @@
 from gevent import subprocess as green
 
 from herongap.daemon.wire import Address
-from herongap.rehearsal.day import Arrival, Day, Order, Script, rack_of, script, zone_of
+from herongap.fleet.day import (
+    Arrival,
+    Day,
+    Order,
+    Script,
+    farm_kind,
+    front_ini,
+    rack_of,
+    script,
+    zone_of,
+)
 from herongap.standins.farm import Log
 from herongap.standins.viewer import Viewer
 
-LOOK = 0.05  # seconds between two looks of a controller at its list
 COME_AGAIN = (0.3, 1.2)
 
 
@@ -94,24 +103,6 @@
             self.farm.wait(timeout=10)
 
 
-def farm_kind(day: Day) -> dict:
-    m = day.machines
-    return {
-        "ladder": day.size.rates,
-        "values": day.size.values,
-        "link": m.link,
-        "rack": m.rack,
-        "places": m.places,
-        "full_from": m.full_from,
-        "warm_up": m.warm_up,
-        "cold_start": m.cold_start,
-        "fall_multiple": m.fall_multiple,
-        "tip_after": m.tip_after,
-        "told_late": m.told_late,
-        "tell": m.tell,
-    }
-
-
 class Stage:
     """One rehearsal under way."""
 
@@ -277,29 +268,6 @@
         self.log(viewer.name, "trickled", identity=viewer.identity, status=status)
 
 
-def front_ini(day: Day, number: int, seed: int, folder: Path) -> str:
-    """The INI file of one controller of a day."""
-    s, m = day.size, day.machines
-    lines = [
-        "[front]", "listen = 127.0.0.1:0", f"number = {number}", f"controllers = {s.controllers}",
-        f"zone = z{number % s.zones}", f"seed = {seed * 1000 + number}", "log_level = info",
-        "log_format = json", f"log_to = {folder / f'controller-{number}.log'}",
-        f"record = {folder / '{name}.record'}",
-        "[limits]", "pace = 100000", "burst = 100000", "connections_a_peer = 100000", "connections = 100000",
-        "[ladder]", f"rates = {', '.join(map(str, s.rates))}", f"values = {', '.join(map(str, s.values))}",
-        "[links]", f"per_weight = {m.link}", f"rack = {m.rack}", f"told_late = {m.told_late}",
-        f"full_from = {m.full_from}",
-        "[cold]", f"warm_up = {m.warm_up}", f"start = {m.cold_start}", f"fall_multiple = {m.fall_multiple}",
-        "[places]", f"std = {m.places}",
-        "[budget]", f"free = {s.extra_free}", f"share = {s.extra_share}", f"window = {s.extra_window}",
-        "[streamers]", "list = streamers.json", f"look = {LOOK}", "[catalogue]", "file = catalogue.json",
-    ]  # fmt: skip
-    for name, package in day.packages.items():
-        lines.append(f"[package {name}]")
-        lines += [f"{key} = {value}" for key, value in package.model_dump().items() if key != "share"]
-    return "\n".join(lines) + "\n"
-
-
 def read_logs(folder: Path) -> list[tuple[float, str, str, dict]]:
     """All lines of a rehearsal's logs in the order of their times."""
     lines = []
@@ -312,6 +280,6 @@
 def play(
     day: Day, folder: Path, seed: int, policy: str = "herongap", actors: Callable | None = None
 ) -> Outcome:
-    """Play one day in `folder`; see `policies` of `herongap.rehearsal.baselines` for what may decide it."""
+    """Play one day in `folder`; see `policies` of `herongap.fleet.baselines` for what may decide it."""
     folder.mkdir(parents=True, exist_ok=True)
     return Stage(day, folder, seed, (actors or Actors)(day, folder, seed, policy)).play()
--- a/herongap/standins/__init__.py
+++ b/herongap/standins/__init__.py
@@ -2,7 +2,8 @@
 flows.
 """
 
-from herongap.standins.farm import Farm, Kind
+from herongap.fleet.machine import Kind
+from herongap.standins.farm import Farm
 from herongap.standins.streamer import Streamer
 from herongap.standins.viewer import Tried, Viewer
 
--- a/herongap/standins/farm.py
+++ b/herongap/standins/farm.py
@@ -1,38 +1,15 @@
-"""All stand-in streamers of one process: their racks, the shares that links and uplinks give, their
-faults.
-"""
+"""All stand-in streamers of one process: their racks, and the orders that make them fail."""
 
 import json
 import random
 import time
-from collections import defaultdict, deque
 from collections.abc import Callable
-from typing import NamedTuple
 
 import gevent
 
-TICK = 0.1  # seconds between two looks at the shares
-
+from herongap.fleet.machine import Kind, Rack
 
-class Kind(NamedTuple):
-    """What all streamers of a farm have in common; rates in kB a second, times in seconds."""
-
-    ladder: tuple[float, ...]
-    values: tuple[float, ...]
-    link: float
-    rack: float
-    places: int
-    full_from: float = 0.0
-    warm_up: float = 10.0
-    cold_start: float = 0.4
-    fall_multiple: float = 2.5
-    tip_after: float = 1.0
-    set_up: tuple[float, float] = (0.005, 0.03)
-    tell: float = 2.0
-    told_late: float = 0.4
-    join_wait: float = 4.0
-    consent: float = 5.0
-    stall: float = 7.0
+TICK = 0.1  # seconds between two looks at the shares
 
 
 class Log:
@@ -46,47 +23,33 @@
 
 
 class Farm:
-    """The streamers and what they share. `streamers` is filled by `add`."""
+    """The streamers and their racks; each streamer adds itself."""
 
     def __init__(self, kind: Kind, log: Log, seed: int, clock: Callable[[], float] = time.monotonic):
         self.kind, self.log, self.clock = kind, log, clock
         self.random = random.Random(seed)
         self.streamers: dict[str, object] = {}
-        self.sags: dict[str, float] = defaultdict(lambda: 1.0)
-        # What was asked of each rack's uplink over what it gives, newest last, for reports that come late.
-        self.asked: dict[str, float] = {}
-        self.past: dict[str, deque] = defaultdict(lambda: deque(maxlen=100))
+        self.racks: dict[str, Rack] = {}
         self._ticking = gevent.spawn(self._run)
 
     def add(self, streamer) -> None:
         self.streamers[streamer.name] = streamer
 
+    def rack(self, name: str) -> Rack:
+        if name not in self.racks:
+            self.racks[name] = Rack(self.kind.rack, self.kind.sharing)
+        return self.racks[name]
+
     def _run(self) -> None:
-        last = self.clock()
+        # Shares change with warmth as well as with sessions; and notes are late, so the past is kept.
         while True:
             gevent.sleep(TICK)
             now = self.clock()
-            self.share_out(now, now - last)
-            last = now
-
-    def share_out(self, now: float, passed: float) -> None:
-        """Give every session its share: equal for all on a link, and again for all on a rack's uplink.
-
-        A link of size L asked for A gives each session min(1, L/A) of its rate; an uplink likewise of what
-        comes through the links (the bench's formula: the smaller of the two shares).
-        """
-        racks: dict[str, list] = defaultdict(list)
-        for st in self.streamers.values():
-            racks[st.rack].append(st)
-        for rack, members in racks.items():
-            asked = sum(st.asked() for st in members)
-            self.asked[rack] = asked / self.kind.rack
-            for st in members:
-                link = st.link_now(now)
-                st.link_ratio = st.asked() / link
-                st.share = min(1.0, 1 / max(st.link_ratio, 1e-9), 1 / max(self.asked[rack], 1e-9))
-                st.past.append((now, st.link_ratio, self.asked[rack], st.share))
-                st.play(now, passed)
+            for rack in self.racks.values():
+                rack.share_out(now)
+                rack.note(now)
+            for st in self.streamers.values():
+                st.sweep(now)
 
     def command(self, order: dict) -> None:
         """Carry out one order of a script: {"do": ..., "on": [streamers], ...}."""
--- a/herongap/standins/streamer.py
+++ b/herongap/standins/streamer.py
@@ -11,9 +11,9 @@
 from gevent.queue import Empty, Queue
 
 from herongap.daemon.wire import Hung, Peer, Server, listen
+from herongap.fleet.machine import Machine, Session
 from herongap.http import SDP, Reply, Request, link, problem
 from herongap.intake import Bounds
-from herongap.interface import Load
 from herongap.orca import HEADER, write_load
 from herongap.sdp import BadSdp, Endpoint, answer
 from herongap.standins import stun
@@ -25,17 +25,6 @@
 FINGERPRINT = ":".join(["5E"] * 32)
 
 
-class Session:
-    """One session at this streamer, and what its viewer got of it."""
-
-    def __init__(
-        self, name: str, identity: str, title: str, rung: int, front: str, resource: Resource, now: float
-    ):
-        self.name, self.identity, self.title, self.rung, self.front = name, identity, title, rung, front
-        self.resource, self.began, self.consent = resource, now, None
-        self.seconds = self.earned = 0.0
-
-
 class Streamer:
     """Listens on loopback; `titles` names what it holds, None for everything."""
 
@@ -49,19 +38,21 @@
         started: float | None = None,
         address=("127.0.0.1", 0),
     ):
-        self.farm, self.name, self.zone, self.rack, self.titles = farm, name, zone, rack, titles
+        self.farm, self.name, self.zone, self.titles = farm, name, zone, titles
         self.kind, self.log, self.clock = farm.kind, farm.log, farm.clock
-        self.started, self.fallen, self.boot = started, False, 0
-        self.share, self.link_ratio, self.past = 1.0, 0.0, farm.past[name]
-        self.sessions: dict[str, Session] = {}
+        self.machine = Machine(farm.kind, name, zone, farm.rack(rack), started)
         self.streams: dict[str, list[Queue]] = {}
         self.faults: dict[str, dict] = {}
-        self.setting_up, self.set_ups, self.sag = 0, [], 1.0
-        self.count, self._short = 0, False
+        self.boot = self.count = 0
+        self._short = False
         self.address = address
         farm.add(self)
         self.up()
 
+    @property
+    def sessions(self) -> dict[str, Session]:
+        return self.machine.sessions
+
     # Its process.
 
     def up(self) -> None:
@@ -75,7 +66,7 @@
         self.cut_off = Event()
         self._greenlets = [gevent.spawn(self._consent), gevent.spawn(self._report)]
         self.running = True
-        self.log(self.name, "up", boot=self.boot, cold=self.started is not None)
+        self.log(self.name, "up", boot=self.boot, cold=self.machine.started is not None)
 
     def die(self) -> None:
         """The process ends: connections are reset, what it played is gone."""
@@ -91,61 +82,36 @@
         for greenlet in self._greenlets:
             greenlet.kill(block=False)
         self.streams.clear()
-        self.setting_up = 0
 
     def order(self, order: dict) -> None:
         """A fault begins or ends, or the process comes or goes."""
         what = order["do"]
+        machine, now = self.machine, self.clock()
         if what == "die":
             self.die()
         elif what == "start":
-            self.started, self.fallen = self.clock(), False
-            self.set_ups.clear()
+            machine.started, machine.fallen = now, False
+            machine.set_ups.clear()
             if not self.running:
                 self.up()
         elif what == "sag":
-            self.sag = order["to"]
+            machine.sag = order["to"]
         elif what == "heal":
             self.faults.clear()
-            self.sag = 1.0
+            machine.sag = 1.0
         elif what == "sound":
             self.faults.pop(order["fault"], None)
         else:
             self.faults[what] = order
+        machine.set_mute(now, self._mute(None))
 
-    # Links and load.
-
-    def link_now(self, now: float) -> float:
-        return max(1.0, self.kind.link * self.sag * self.warmth(now))
-
-    def warmth(self, now: float) -> float:
-        if self.started is None:
-            return 1.0
+    def sweep(self, now: float) -> None:
+        """End the sessions whose viewers are no longer there, or never came."""
         k = self.kind
-        return min(1.0, k.cold_start + (1 - k.cold_start) * max(0.0, now - self.started) / k.warm_up)
-
-    def asked(self) -> float:
-        return sum(self.kind.ladder[s.rung] for s in self.sessions.values())
-
-    def play(self, now: float, passed: float) -> None:
-        """Account what each viewer got in the time just passed, and drop those that are no longer there."""
-        share = 0.0 if self._mute(None) else self.share
         for s in list(self.sessions.values()):
-            late = s.consent if s.consent is not None else s.began - self.kind.consent + self.kind.join_wait
-            if now - late > self.kind.consent:
+            last = s.began + k.join_wait - k.consent if s.consent is None else s.consent
+            if now - last > k.consent:
                 self.end(s, "viewer-gone")
-                continue
-            s.seconds += passed
-            value = self.kind.values[s.rung] - self.kind.stall * max(0.0, 0.98 - share)
-            s.earned += passed * max(0.0, value)
-
-    def load(self, late: float = 0.0) -> Load:
-        """Asked over given of link and uplink, as it was `late` seconds ago."""
-        now = self.clock()
-        for at, ratio, rack, _ in reversed(self.past):
-            if at <= now - late:
-                return Load(ratio, None, rack)
-        return Load(self.link_ratio, None, self.farm.asked.get(self.rack, 0.0))
 
     # Faults.
 
@@ -202,30 +168,27 @@
             front=front,
             title=title,
             rung=int(layer),
-            cold=self.warmth(self.clock()) < 1,
+            cold=self.machine.warmth(self.clock()) < 1,
         )
-        self._count_set_up()
+        most = self.machine.knock(self.clock())
+        if most is not None:
+            self.log(self.name, "fell", set_ups=len(self.machine.set_ups), most=most)
         if self._mute(front):
             self._stand_still(peer, identity)
         if self.titles is not None and title not in self.titles:
             return self._refuse(identity, problem("no-such-title"))
-        self.setting_up += 1
-        try:
-            delay = self.farm.random.uniform(*self.kind.set_up)
-            if slow := self.faults.get("slow"):
-                delay += slow["by"]
-            if not self._pause(peer, delay, identity):
-                raise Hung
-            if (bad := self.faults.get("fail")) and self.farm.random.random() < bad.get("part", 1.0):
-                return self._refuse(identity, problem("internal"))
-            if self.fallen or not self.running:
-                return self._refuse(identity, problem("internal", "fell over"))
-            full = self.kind.full_from and self.link_ratio >= self.kind.full_from
-            if full or len(self.sessions) >= self.kind.places:
-                return self._refuse(identity, problem("blocked"), self._load_header())
-            return self._start(offer, identity, title, int(layer), front, protocol, peer)
-        finally:
-            self.setting_up -= 1
+        delay = self.farm.random.uniform(*self.kind.set_up)
+        if slow := self.faults.get("slow"):
+            delay += slow["by"]
+        if not self._pause(peer, delay, identity):
+            raise Hung
+        if (bad := self.faults.get("fail")) and self.farm.random.random() < bad.get("part", 1.0):
+            return self._refuse(identity, problem("internal"))
+        if self.machine.fallen or not self.running:
+            return self._refuse(identity, problem("internal", "fell over"))
+        if self.machine.full():
+            return self._refuse(identity, problem("blocked"), self._load_header())
+        return self._start(offer, identity, title, int(layer), front, protocol, peer)
 
     def _pause(self, peer: Peer, delay: float, identity: str) -> bool:
         if peer.wait(self.cut_off, delay) or peer.gone:
@@ -246,8 +209,9 @@
         except BadSdp as fault:
             return self._refuse(identity, problem("offer-refused", str(fault)))
         resource = Resource(name, offer.identity[1], me)
-        session = Session(name, identity, title, rung, front, resource, self.clock())
-        self.sessions[name] = session
+        session = Session(name, identity, title, rung, front, self.clock())
+        session.resource = resource
+        self.machine.begin(self.clock(), session)
         self.log(self.name, "started", identity=identity, session=name, front=front, title=title, rung=rung)
         if "lose" in self.faults:
             # The session runs, its answer never arrives: what the caller cannot tell from one that never ran.
@@ -274,7 +238,7 @@
         )
 
     def _load_header(self) -> tuple[str, str]:
-        return HEADER, write_load(self.load())
+        return HEADER, write_load(self.machine.load())
 
     def _layer(self, session: Session, request: Request) -> Reply:
         try:
@@ -282,25 +246,12 @@
         except ValueError as fault:
             return problem("bad-request", str(fault))
         self.log(self.name, "rung", identity=session.identity, session=session.name, rung=rung)
-        session.rung = rung
+        self.machine.step(self.clock(), session, rung)
         return Reply(200)
 
-    def _count_set_up(self) -> None:
-        """The rule of cold streamers: too many set-ups in `tip_after` seconds, and it falls over and stays
-        down.
-        """
-        now, k = self.clock(), self.kind
-        self.set_ups = [at for at in self.set_ups if at > now - k.tip_after] + [now]
-        if self.started is None or now - self.started >= k.warm_up:
-            return
-        most = max(1.0, k.fall_multiple * k.tip_after * k.places / k.warm_up * self.warmth(now))
-        if len(self.set_ups) > most and not self.fallen:
-            self.fallen = True
-            self.log(self.name, "fell", set_ups=len(self.set_ups), most=most)
-
     def end(self, session: Session, reason: str, tell: bool = True) -> None:
         """A session ends; its front hears of it where it did not ask for it."""
-        if self.sessions.pop(session.name, None) is None:
+        if (got := self.machine.finish(self.clock(), session)) is None:
             return
         self.log(
             self.name,
@@ -308,8 +259,8 @@
             identity=session.identity,
             session=session.name,
             reason=reason,
-            seconds=round(session.seconds, 2),
-            earned=round(session.earned, 3),
+            seconds=round(got[0], 2),
+            earned=round(got[1], 3),
             joined=session.consent is not None,
         )
         if tell:
@@ -365,13 +316,13 @@
             gevent.sleep(1.0)
             late = self.kind.told_late + self.faults.get("late", {}).get("by", 0.0)
             now = self.clock()
-            share = next((s for at, _, _, s in reversed(self.past) if at <= now - late), 1.0)
+            share = self.machine.share_at(now - late)
             if share < 0.98 or self._short:
                 self._tell("delivery", {"share": round(share, 4)})
             self._short = share < 0.98
             if now >= told:
                 told = now + self.kind.tell
-                load = self.load(late)
+                load = self.machine.load(now - late)
                 self._tell("load", {"link": round(load.link, 4), "rack": round(load.rack, 4)})
 
     def _consent(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -111,8 +111,7 @@
 
     def start_farm(self):
         self.log = open(self.folder / "streamers.jsonl", "w", encoding="utf-8")  # noqa: SIM115
-        from herongap.rehearsal.day import rack_of, zone_of
-        from herongap.rehearsal.stage import farm_kind
+        from herongap.fleet.day import farm_kind, rack_of, zone_of
 
         self.farm = Farm(Kind(**farm_kind(self.day)), Log(self.log.write), self.seed)
         for i in range(self.day.size.streamers):
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -243,7 +243,7 @@
 
 
 def test_a_baseline_is_no_controller_of_the_design():
-    from herongap.rehearsal.baselines import POLICIES
+    from herongap.fleet.baselines import POLICIES
 
     c = controller()
     ours = [name for name, make in POLICIES.items() if make.pick is type(c).pick]
