Experiments on the fleet model; what may have started unlisted takes one set-up in two slots

Change: herongap experiment run, resume, report, compare, fit (arms by policy, module or values; common random numbers, paired intervals, lmdb store, bound by a linear program, HTML and PNG). rules.py: what a controller has not heard of for a whole warm-up takes one set-up in two slots. The checker ends a seat where a DELETE arrives; streamers given up as lost are told to let go. An account of a machine's last viewing lost its final stretch; mended. [places] must be given, since the pace goes by it.

--- a/benchmarks/front.py
+++ b/benchmarks/front.py
@@ -42,6 +42,8 @@
 [links]
 per_weight = 1e9
 rack = 1e9
+[places]
+std = 100000
 [streamers]
 list = streamers.json
 [catalogue]
--- a/herongap/cli/__init__.py
+++ b/herongap/cli/__init__.py
@@ -2,7 +2,7 @@
 
 import click
 
-from herongap.cli import records, rehearse, serve
+from herongap.cli import experiment, records, rehearse, serve
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -14,5 +14,13 @@
     """
 
 
-for command in (serve.serve, serve.check, serve.demo, rehearse.rehearse, records.replay, records.explain):
+for command in (
+    serve.serve,
+    serve.check,
+    serve.demo,
+    rehearse.rehearse,
+    experiment.experiment,
+    records.replay,
+    records.explain,
+):
     main.add_command(command)
--- /dev/null
+++ b/herongap/cli/experiment.py
@@ -0,0 +1,156 @@
+"""`experiment`: settings, policies and versions compared on the same days of the fleet model."""
+
+import os
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from herongap.ini import Faults
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+FOLDER = click.Path(file_okay=False, path_type=Path)
+STORE = click.option(
+    "--store", type=click.Path(dir_okay=False, path_type=Path), help="Default: FILE with .results."
+)
+
+
+@click.group()
+def experiment() -> None:
+    """Compare settings, policies and versions of the module on the fleet model. Figures are simulated."""
+
+
+def _open(file: Path, store: Path | None):
+    from herongap.fleet.arms import read_experiment
+    from herongap.fleet.store import Store
+
+    try:
+        return read_experiment(file), Store(store or file.with_suffix(".results"))
+    except (Faults, ValueError) as fault:
+        raise click.ClickException(str(fault)) from fault
+
+
+def _bounds(plan, arms) -> list:
+    from herongap.fleet.bound import bound
+    from herongap.fleet.day import read_day, script
+
+    day = read_day(Path(arms[0].day))
+    return [bound(day, script(day, seed)) for seed in range(plan.seed, plan.seed + plan.bound_days)]
+
+
+@experiment.command()
+@click.argument("file", type=FILE)
+@STORE
+@click.option(
+    "--workers", default=os.cpu_count(), show_default="all cores", help="Figures do not depend on it."
+)
+@click.option("--report", "folder", type=FOLDER, help="Write an HTML page and plots here.")
+def run(file: Path, store: Path | None, workers: int, folder: Path | None) -> None:
+    """Run the experiment FILE (INI) until its intervals are narrow enough, or its days are used up.
+
+    What has been run is kept; a run that was killed goes on where it was (`resume` is the same command).
+    Exit code 1 if an arm broke a rule.
+    """
+    from herongap.fleet import pages
+    from herongap.fleet.runner import run as run_all
+
+    made, kept = _open(file, store)
+    began = time.monotonic()
+
+    def progress(done: int, of: int) -> None:
+        click.echo(
+            f"\r{done} of {of} days of this batch, {time.monotonic() - began:.0f} s ", err=True, nl=done == of
+        )
+
+    results = run_all(made, kept, workers, progress)
+    bounds = _bounds(made.plan, made.arms)
+    rows = pages.table(made, results)
+    click.echo("\n".join(pages.text(rows, bounds)))
+    if folder:
+        click.echo(f"page: {pages.write(folder, made, results, bounds)}")
+    kept.close()
+    sys.exit(1 if any(row.broken for row in rows) else 0)
+
+
+experiment.add_command(run, "resume")
+
+
+@experiment.command()
+@click.argument("file", type=FILE)
+@STORE
+@click.argument("folder", type=FOLDER)
+def report(file: Path, store: Path | None, folder: Path) -> None:
+    """Write the page of what has been run of FILE so far into FOLDER."""
+    from herongap.fleet import pages
+
+    made, kept = _open(file, store)
+    results: dict[str, list[dict]] = {arm.name: [] for arm in made.arms}
+    for seed in range(made.plan.seed, made.plan.seed + made.plan.most):
+        found = {arm.name: kept.get(arm.digest(), seed) for arm in made.arms}
+        if None in found.values():
+            break
+        for name, result in found.items():
+            results[name].append(result)
+    if len(results[made.arms[0].name]) < 2:
+        raise click.ClickException("fewer than two days have been run; see `herongap experiment run`")
+    click.echo(pages.write(folder, made, results, _bounds(made.plan, made.arms)))
+
+
+@experiment.command()
+@click.argument("days", nargs=-1, required=True, type=FILE)
+@click.option("--pairs", default=8, show_default=True, help="How many seeds.")
+@click.option("--policy", default="herongap", show_default=True)
+def compare(days: tuple[Path, ...], pairs: int, policy: str) -> None:
+    """Compare day files, such as two settings of one deployment, seed by seed; the first is the control."""
+    from herongap.fleet import pages
+    from herongap.fleet.arms import PACKAGE, Arm, Experiment, Plan, job
+
+    arms = tuple(Arm(day.name, policy, str(PACKAGE / "rules.py"), (), str(day.resolve()), 0) for day in days)
+    plan = Plan(day=str(days[0]), least=max(2, pairs), most=max(2, pairs))
+    try:
+        results = {arm.name: [job(arm, seed) for seed in range(1, plan.most + 1)] for arm in arms}
+    except Faults as fault:
+        raise click.ClickException(str(fault)) from fault
+    click.echo("\n".join(pages.text(pages.table(Experiment(plan, arms), results), [])))
+
+
+@experiment.command()
+@click.argument("record", type=FILE)
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="A PNG of the fits.")
+def fit(record: Path, plot: Path | None) -> None:
+    """Estimate arrivals, lengths, popularity and set-up times from RECORD; prints a part of a day's INI
+    file.
+    """
+    from herongap.fleet.fit import FAMILIES, day_text, fit_record
+    from herongap.host import Torn
+
+    try:
+        with open(record, "rb") as lines:
+            found = fit_record(lines)
+    except (Torn, ValueError) as fault:
+        raise click.ClickException(f"{record}: {fault}") from fault
+    click.echo(
+        f"; {found.viewings} viewings in {found.seconds:.1f} s, "
+        f"deviation of gaps over their mean {found.burstiness:.2f}"
+    )
+    click.echo(f"; popularity {found.popularity:.3f} +- {found.popularity_error:.3f} (one standard error)")
+    for q in found.quantities:
+        fitted = f"KS distance {q.distance:.3f}, p {q.p:.3f}, n {q.count}"
+        click.echo(f"; {q.name}: {q.family}, mean {q.mean:.4f} s, {fitted}")
+    click.echo(day_text(found), nl=False)
+    if plot:
+        import matplotlib
+
+        matplotlib.use("Agg")
+        import matplotlib.pyplot as plt
+        import numpy as np
+
+        figure, all_axes = plt.subplots(1, max(1, len(found.quantities)), figsize=(12, 3.5), squeeze=False)
+        for axes, q in zip(all_axes[0], found.quantities, strict=False):
+            values = np.sort(found.samples[q.name])
+            axes.step(values, np.arange(1, len(values) + 1) / len(values), label="record")
+            axes.plot(values, FAMILIES[q.family].cdf(values, *q.parameters), label=q.family)
+            axes.set(title=q.name, xlabel="seconds")
+            axes.legend(frameon=False)
+        figure.savefig(plot, dpi=110, bbox_inches="tight")
--- a/herongap/cli/serve.py
+++ b/herongap/cli/serve.py
@@ -88,6 +88,8 @@
 [links]
 per_weight = 20000
 rack = 70000
+[places]
+std = 200
 [streamers]
 list = streamers.json
 [catalogue]
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -279,7 +279,9 @@
         held = self.host.held(streamer)
         log.warning("streamer lost", streamer=streamer, viewings=len(held), cause=cause)
         for viewing, number in held:
-            self.remotes.pop((viewing, number), None)
+            # If it lives after all, only cut off from here, it is to let go of what nobody here knows any
+            # more.
+            self.tear_down(viewing, number, streamer, False)
             self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
 
     def close(self) -> None:
--- a/herongap/fleet/baselines.py
+++ b/herongap/fleet/baselines.py
@@ -9,14 +9,14 @@
 from herongap.rules import Controller
 
 
-class RandomHolder(Controller):
+class RandomHolder:
     """Any holder with room, by chance."""
 
     def pick(self, now, vw, room):
         return room[int(self.chance() * len(room))]
 
 
-class RoundRobin(Controller):
+class RoundRobin:
     """The holders with room in turn, by sorted ids, one turn for each package."""
 
     def pick(self, now, vw, room):
@@ -27,14 +27,14 @@
         return st
 
 
-class LeastUsed(Controller):
+class LeastUsed:
     """The holder with room that has the fewest of this controller's own viewings."""
 
     def pick(self, now, vw, room):
         return min(room, key=lambda st: (len(st.held), self.chance()))
 
 
-class TwoChoices(Controller):
+class TwoChoices:
     """Of two holders with room, drawn by chance, the one with fewer own viewings (Mitzenmacher, 2001)."""
 
     def pick(self, now, vw, room):
@@ -55,11 +55,18 @@
         return None
 
 
-POLICIES = {
-    "herongap": Controller,
+BASELINES = {
     "random": RandomHolder,
     "round-robin": RoundRobin,
     "least-used": LeastUsed,
     "two-choices": TwoChoices,
     "blind": Blind,
 }
+
+
+def deciding(policy: str, base: type = Controller) -> type:
+    """The deciding class of a policy on a version of the module; "herongap" is the version itself."""
+    return base if policy == "herongap" else type(BASELINES[policy].__name__, (BASELINES[policy], base), {})
+
+
+POLICIES = {name: deciding(name) for name in ("herongap", *BASELINES)}
--- a/herongap/rehearsal/checker.py
+++ b/herongap/fleet/checker.py
@@ -8,14 +8,13 @@
 from typing import NamedTuple
 
 from herongap.fleet.day import LOOK, zone_of
-from herongap.rehearsal.stage import Outcome
+from herongap.fleet.figures import Outcome
 
 # Two sockets of one exchange are read by different processes; what one does before another may be seen after
 # it.
 SLACK = 0.05
 GRACE = 0.25  # seconds after a drain was told within which work may still arrive
 TWICE = 3.0  # seconds within which a late session must have been torn down
-MUTED = 3.5  # seconds after a streamer fell silent from which nobody can know what it still holds
 
 
 class Break(NamedTuple):
@@ -63,6 +62,7 @@
     title: str
     out: Out
     told: bool
+    let_go: float
 
 
 class Run:
@@ -80,6 +80,7 @@
         self.fronts: dict[int, int] = {}
         self.killed: dict[int, float] = {}
         self.muted: dict[str, list[float]] = defaultdict(list)
+        self.let_go: dict[tuple[str, str], float] = {}
         self.lines: dict[str, list] = defaultdict(list)
         self.stopping = float("inf")
         self._read(outcome.lines)
@@ -110,6 +111,8 @@
                 if what == "started":
                     self.rungs[identity].append((at, who, d["rung"]))
                     open_sessions[who, d["session"]] = (at, d, out)
+            elif what == "let-go":
+                self.let_go.setdefault((who, d["session"]), at)
             elif what == "unanswered":
                 untold.add((who, d["session"]))
             elif what == "ended":
@@ -148,7 +151,9 @@
         return out
 
     def _session(self, identity, who, begin, end, started, out, told) -> None:
-        self.sessions[identity].append(Held(who, begin, end, started["front"], started["title"], out, told))
+        let_go = self.let_go.get((who, started["session"]), float("inf"))
+        held = Held(who, begin, end, started["front"], started["title"], out, told, let_go)
+        self.sessions[identity].append(held)
 
     def broken(self, rule: int, at: float, what: str, identity: str | None = None) -> Break:
         return Break(rule, round(at - self.began, 3), what, self.lines.get(identity, []))
@@ -270,7 +275,7 @@
     """Rule 5, second half: no controller holds more viewings of a title and package than its seats.
 
     A seat is taken from the POST at the streamer until that is answered otherwise, hung up on, or its
-    session ends.
+    session ends; or until a DELETE of it arrives, whether or not the streamer can still answer that.
     """
     steps: dict[tuple, list[tuple[float, int, str]]] = defaultdict(list)
     for identity, outs in run.outs.items():
@@ -282,8 +287,7 @@
             end = out.end
             # Where the answer was lost on its way, the tune-in ended for its controller when that broke.
             if held and held.told:
-                muted = [at + MUTED for at in run.muted[out.streamer] if at + MUTED > held.begin]
-                end = min([held.end, *muted])
+                end = min(held.end, held.let_go)
             steps[out.front, out.title, package] += [
                 (out.begin, 1, identity),
                 (max(end - SLACK, out.begin + 1e-6), -1, identity),
--- a/herongap/fleet/machine.py
+++ b/herongap/fleet/machine.py
@@ -123,9 +123,10 @@
 
     def finish(self, now: float, session: Session) -> tuple[float, float] | None:
         """A session ends: its seconds, and the value it earned; None if it had ended already."""
-        if self.sessions.pop(session.name, None) is None:
+        if session.name not in self.sessions:
             return None
         self.advance(now)
+        del self.sessions[session.name]
         session.earned += self.gains[session.rung] - session.since
         self.asked -= self.kind.ladder[session.rung]
         if not self.sessions:
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -217,6 +217,9 @@
             faults.append(f"[{section}]: missing; needed keys: {', '.join(_needed(model))}")
         elif section not in parts and section != "budget":
             parts[section] = model()
+    if not places and "places" not in parser:
+        # The pace of set-ups to streamers that may be cold goes by them.
+        faults.append("[places]: missing; a key for each kind of streamer, the viewings that one plays")
     if not named["package"]:
         faults.append("[package NAME]: at least one package is needed")
     if not faults:
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -66,7 +66,7 @@
 
     def __init__(self, line: Listed, link: Pipe, rack: Pipe):
         self.line, self.link, self.rack = line, link, rack
-        self.share, self.back, self.started, self.slot = 1.0, -1e9, -1e9, -1
+        self.share, self.back, self.started, self.since, self.slot = 1.0, -1e9, -1e9, 1e18, -2
         self.came, self.held, self.shown = -1e9, {}, Counter()
 
 
@@ -367,8 +367,7 @@
         vw.rung, vw.tries, vw.sent, vw.stepped = rung, vw.tries + 1, now, now
         if self.extra and vw.tries > 1:
             self.extras.append(now)
-        if now - st.started < self.warm_up:
-            st.slot = int(now / self.slot)
+        st.slot = int(now / self.slot)
         self.put(now, vw, st)
         # The first leaves room for a second within the join target; that one may use what is left of it.
         most = max(FIRST * vw.package.join, vw.aim - now if vw.tries > 1 else 0.0)
@@ -402,11 +401,14 @@
 
     def paced(self, now: float, st: Streamer) -> bool:
         """Cold streamers take one set-up in each of this controller's own slots."""
-        if now - st.started >= self.warm_up:
-            return True
+        slot, cold = int(now / self.slot), now - st.started < self.warm_up
+        if not cold:
+            # A controller that was away, or whose list is late, is not told of every start, and would send
+            # all it has to the one that is empty: what it has not heard of for so long takes one in two
+            # slots.
+            return now - st.since >= self.warm_up or slot - st.slot > 1
         # No more share a slot than viewings share a streamer: among hundreds, each would wait for minutes.
         turns = min(self.controllers, 1 + len(self.viewings) * self.controllers // len(self.streamers))
-        slot = int(now / self.slot)
         return slot % turns == self.me % turns and slot != st.slot
 
     def failed(self, now: float, vw: Viewing, st: Streamer, how: Ending) -> None:
@@ -454,6 +456,8 @@
         live = [st for st in self.streamers.values() if st.line.standing is Standing.ACTIVE]
         fresh = [st.link.rest / st.link.size for st in live if now - st.link.heard < FADE]
         own = sum(st.link.own for st in live) / (sum(st.link.size for st in live) or 1.0)
+        for st in live:
+            st.since = min(st.since, now) if now - st.link.heard < FADE else 1e18
         # The median: one failing streamer's word must not make every other link look full.
         self.usual = max(0.0, median(fresh) if fresh else own * (self.controllers - 1))
 
--- a/herongap/standins/streamer.py
+++ b/herongap/standins/streamer.py
@@ -137,6 +137,8 @@
         if len(path) == 2 and path[0] in ("whip", "whep") and request.method == "POST":
             return self._post(path[0], path[1], request, peer, front)
         if self._mute(front):
+            if request.method == "DELETE" and len(path) > 1 and (asked := self.sessions.get(path[1])):
+                self.log(self.name, "let-go", identity=asked.identity, session=asked.name)
             self._stand_still(peer)
         if request.method == "OPTIONS":
             return Reply(200, (("Accept-Post", SDP), self._load_header()))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -59,3 +59,11 @@
     while (decision := c.decide(now)) is not None:
         out.append(decision)
     return out
+
+
+def hear(c: Controller, since: float, until: float) -> None:
+    """Word of an idle link from every streamer, each second: none of them can have started unnoticed."""
+    for second in range(int(since), int(until)):
+        for st in list(c.streamers):
+            c.load_told(float(second), st, False, None, 0.0)
+        pull(c, float(second))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -39,6 +39,8 @@
 [links]
 per_weight = 10000
 rack = 50000
+[places]
+std = 400
 [cold]
 warm_up = 4
 [streamers]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -211,6 +211,7 @@
     w = World(folders[0], streamers=1, extra="")
     try:
         ini = (folders[0] / "front.ini").read_text().replace("listen", "controllers = 2\nlisten")
+        ini = ini.replace("std = 400", "std = 40")
         for number, folder in enumerate(folders):
             w.lines["s0"]["started"] = time.time()
             (folder / "streamers.json").write_text(json.dumps({"streamers": list(w.lines.values())}))
