--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -66,7 +66,7 @@
 
     def __init__(self, line: Listed, link: Pipe, rack: Pipe):
         self.line, self.link, self.rack = line, link, rack
-        self.share, self.back, self.started, self.since, self.slot = 1.0, -1e9, -1e9, 1e18, -2
+        self.share, self.back, self.started, self.since, self.slot = 1.0, -1e9, -1e9, 1e18, -1
         self.came, self.held, self.shown = -1e9, {}, Counter()
 
 
@@ -403,10 +403,9 @@
         """Cold streamers take one set-up in each of this controller's own slots."""
         slot, cold = int(now / self.slot), now - st.started < self.warm_up
         if not cold:
-            # A controller that was away, or whose list is late, is not told of every start, and would send
-            # all it has to the one that is empty: what it has not heard of for so long takes one in two
-            # slots.
-            return now - st.since >= self.warm_up or slot - st.slot > 1
+            # A controller that was away, or whose list is late, is not told of every start, and would send all it
+            # has to the one that is empty: what it has not heard of for so long takes one a slot.
+            return now - st.since >= self.warm_up or slot != st.slot
         # No more share a slot than viewings share a streamer: among hundreds, each would wait for minutes.
         turns = min(self.controllers, 1 + len(self.viewings) * self.controllers // len(self.streamers))
         return slot % turns == self.me % turns and slot != st.slot
