--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -403,8 +403,8 @@
         """Cold streamers take one set-up in each of this controller's own slots."""
         slot, cold = int(now / self.slot), now - st.started < self.warm_up
         if not cold:
-            # A controller that was away, or whose list is late, is not told of every start, and would send all it
-            # has to the one that is empty: what it has not heard of for so long takes one a slot.
+            # A controller that was away, or whose list is late, is not told of every start, and would send
+            # all it has to the one that is empty: what it has not heard of for so long takes one a slot.
             return now - st.since >= self.warm_up or slot != st.slot
         # No more share a slot than viewings share a streamer: among hundreds, each would wait for minutes.
         turns = min(self.controllers, 1 + len(self.viewings) * self.controllers // len(self.streamers))
