--- a/herongap/fleet/machine.py
+++ b/herongap/fleet/machine.py
@@ -70,6 +70,7 @@
         self.kind, self.name, self.zone, self.rack, self.started = kind, name, zone, rack, started
         self.sessions: dict[str, Session] = {}
         self.asked, self.sag, self.mute, self.fallen = 0.0, 1.0, False, False
+        self.faults: dict[str, dict] = {}
         self.share, self.ratio, self.at = 1.0, 0.0, 0.0
         # For each rung, what a viewer there has earned since the start: sessions keep only where they came
         # in.
@@ -143,10 +144,33 @@
                 if value > missing:
                     self.gains[rung] += passed * (value - missing)
 
-    def set_mute(self, now: float, mute: bool) -> None:
-        """Whether nothing that it sends arrives."""
+    def muted(self, front: str = "") -> bool:
+        """Whether nothing from here reaches the front of that name (no front at all, without one)."""
+        if "silent" in self.faults or "hang" in self.faults:
+            return True
+        cut = self.faults.get("cut")
+        return bool(cut and front and any(front.startswith(name) for name in cut["fronts"]))
+
+    def order(self, now: float, order: dict) -> None:
+        """A fault begins or ends, or its process starts anew, cold; what else that means is the caller's."""
+        match order["do"]:
+            case "start":
+                self.started, self.fallen = now, False
+                self.set_ups.clear()
+            case "sag":
+                self.sag = order["to"]
+            case "heal":
+                self.faults.clear()
+                self.sag = 1.0
+            case "sound":
+                self.faults.pop(order["fault"], None)
+            case "die":
+                pass
+            case fault:
+                self.faults[fault] = order
         self.advance(now)
-        self.mute = mute
+        self.mute = self.muted()
+        self.rack.share_out(now)
 
     def load(self, at: float | None = None) -> Load:
         """Asked over given of link and uplink, now or as it was at a time before."""
--- a/herongap/fleet/model.py
+++ b/herongap/fleet/model.py
@@ -5,7 +5,6 @@
 same checker and the same report judge both. A day's script is the same for both too.
 """
 
-import bisect
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -159,7 +158,7 @@
         self.model, self.name, self.clock = model, name, model.clock
         self.machine = Machine(model.kind, name, zone, rack)
         self.running, self.count, self.short = True, 0, False
-        self.faults: dict[str, dict] = {}
+        self.faults = self.machine.faults
         self.waiting: dict[tuple[str, Id, int], Front] = {}
         self.draw = stream(model.seed, "streamer", name)
         self.silent_since: float | None = None
@@ -168,12 +167,9 @@
     def log(self, what: str, **details) -> None:
         self.model.log(self.name, what, **details)
 
-    def muted(self, front: Front | None) -> bool:
-        """Whether nothing from here reaches that front (any front, for None)."""
-        if "silent" in self.faults or "hang" in self.faults:
-            return True
-        cut = self.faults.get("cut")
-        return bool(cut and front and any(front.name.startswith(name) for name in cut["fronts"]))
+    def muted(self, front: Front) -> bool:
+        """Whether nothing from here reaches that front."""
+        return self.machine.muted(front.name)
 
     def post(self, front: Front, out: Out) -> None:
         """A tune-in arrives."""
@@ -277,29 +273,16 @@
             front.lost(self.name)
 
     def order(self, order: dict) -> None:
-        what, machine, now = order["do"], self.machine, self.clock.now
-        if what == "die":
+        now = self.clock.now
+        if order["do"] == "die":
             self.die()
-        elif what == "start":
-            machine.started, machine.fallen = now, False
-            machine.set_ups.clear()
-            if not self.running:
-                self.running = True
-                # What followed the old process learns at its next try that this is a new one.
-                for front in self.model.fronts.values():
-                    if front and self.name in front.follows:
-                        self.clock.after(2 * WAY, self._gone, front)
-        elif what == "sag":
-            machine.sag = order["to"]
-            machine.rack.share_out(now)
-        elif what == "heal":
-            self.faults.clear()
-            machine.sag = 1.0
-        elif what == "sound":
-            self.faults.pop(order["fault"], None)
-        else:
-            self.faults[what] = order
-        machine.set_mute(now, self.muted(None))
+        self.machine.order(now, order)
+        if order["do"] == "start" and not self.running:
+            self.running = True
+            # What followed the old process learns at its next try that this is a new one.
+            for front in self.model.fronts.values():
+                if front and self.name in front.follows:
+                    self.clock.after(2 * WAY, self._gone, front)
         quiet = bool(self.faults.keys() & {"silent", "hang", "cut"})
         if quiet and self.silent_since is None:
             self.silent_since = now
@@ -628,15 +611,3 @@
 def _site(day: Day, number: int, seed: int) -> Site:
     folder = Path(tempfile.gettempdir())
     return parse_site(days.front_ini(day, number, seed, folder), folder / "model.ini")
-
-
-def percentile(values: list[float], part: float) -> float:
-    """The value at a part of a sorted list."""
-    return values[min(len(values) - 1, int(part * len(values)))] if values else 0.0
-
-
-def busy(lines: list[tuple], seconds: float) -> list[int]:
-    """How many sessions played in each whole second."""
-    starts = sorted(at for at, _, what, _ in lines if what == "started")
-    ends = sorted(at for at, _, what, _ in lines if what == "ended")
-    return [bisect.bisect(starts, t) - bisect.bisect(ends, t) for t in range(int(seconds))]
--- a/herongap/standins/streamer.py
+++ b/herongap/standins/streamer.py
@@ -42,13 +42,16 @@
         self.kind, self.log, self.clock = farm.kind, farm.log, farm.clock
         self.machine = Machine(farm.kind, name, zone, farm.rack(rack), started)
         self.streams: dict[str, list[Queue]] = {}
-        self.faults: dict[str, dict] = {}
         self.boot = self.count = 0
         self._short = False
         self.address = address
         farm.add(self)
         self.up()
 
+    @property
+    def faults(self) -> dict[str, dict]:
+        return self.machine.faults
+
     @property
     def sessions(self) -> dict[str, Session]:
         return self.machine.sessions
@@ -85,25 +88,11 @@
 
     def order(self, order: dict) -> None:
         """A fault begins or ends, or the process comes or goes."""
-        what = order["do"]
-        machine, now = self.machine, self.clock()
-        if what == "die":
+        if order["do"] == "die":
             self.die()
-        elif what == "start":
-            machine.started, machine.fallen = now, False
-            machine.set_ups.clear()
-            if not self.running:
-                self.up()
-        elif what == "sag":
-            machine.sag = order["to"]
-        elif what == "heal":
-            self.faults.clear()
-            machine.sag = 1.0
-        elif what == "sound":
-            self.faults.pop(order["fault"], None)
-        else:
-            self.faults[what] = order
-        machine.set_mute(now, self._mute(None))
+        self.machine.order(self.clock(), order)
+        if order["do"] == "start" and not self.running:
+            self.up()
 
     def sweep(self, now: float) -> None:
         """End the sessions whose viewers are no longer there, or never came."""
@@ -115,13 +104,6 @@
 
     # Faults.
 
-    def _mute(self, front: str | None) -> bool:
-        """Whether nothing of this streamer reaches that front (any front, for None)."""
-        if "silent" in self.faults or "hang" in self.faults:
-            return True
-        cut = self.faults.get("cut")
-        return bool(cut and front and any(front.startswith(name) for name in cut["fronts"]))
-
     def _stand_still(self, peer: Peer, identity: str = "") -> None:
         """Take and never answer, until the caller hangs up."""
         peer.wait(self.cut_off, 600.0)
@@ -136,7 +118,7 @@
         path = request.path
         if len(path) == 2 and path[0] in ("whip", "whep") and request.method == "POST":
             return self._post(path[0], path[1], request, peer, front)
-        if self._mute(front):
+        if self.machine.muted(front):
             if request.method == "DELETE" and len(path) > 1 and (asked := self.sessions.get(path[1])):
                 self.log(self.name, "let-go", identity=asked.identity, session=asked.name)
             self._stand_still(peer)
@@ -175,7 +157,7 @@
         most = self.machine.knock(self.clock())
         if most is not None:
             self.log(self.name, "fell", set_ups=len(self.machine.set_ups), most=most)
-        if self._mute(front):
+        if self.machine.muted(front):
             self._stand_still(peer, identity)
         if self.titles is not None and title not in self.titles:
             return self._refuse(identity, problem("no-such-title"))
@@ -289,7 +271,7 @@
                     chunk = queue.get(timeout=BEAT)
                 except Empty:
                     chunk = HEARTBEAT
-                if not self._mute(front):
+                if not self.machine.muted(front):
                     yield chunk
         finally:
             # A front whose stream is gone is gone: what it held ends with it, unless it comes back at once.
@@ -299,7 +281,12 @@
                 gevent.spawn_later(2.0, self._front_gone, front, boot)
 
     def _front_gone(self, front: str, boot: int) -> None:
-        if self.running and self.boot == boot and not self.streams.get(front) and not self._mute(front):
+        if (
+            self.running
+            and self.boot == boot
+            and not self.streams.get(front)
+            and not self.machine.muted(front)
+        ):
             for session in [s for s in self.sessions.values() if s.front == front]:
                 self.end(session, "front-gone")
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -76,12 +76,11 @@
         b.begin(2.0, Session(f"b{i}", "x", "t", 1, "f", 2.0))
     # 1500 and 900 asked of 1500: in equal parts of what is asked, or 750 each.
     assert b.share == pytest.approx(1500 / 2400 if sharing == "equal" else 750 / 900)
-    b.set_mute(3.0, True)
+    b.order(3.0, {"do": "silent"})
     seconds, earned = a.finish(4.0, one)
     assert seconds == 4.0 and earned == pytest.approx(
         1.0 + 0.0
     )  # one whole second, then stalls beyond all value
-    a.set_mute(4.0, False)
     low = Session("low", "x", "t", 0, "f", 4.0)
     c = Machine(KIND, "c", "", Rack(1e9))
     c.begin(4.0, low)
