--- a/herongap/intake.py
+++ b/herongap/intake.py
@@ -13,7 +13,7 @@
 
     connections: int = 4000
     connections_a_peer: int = 1000
-    setting_up: int = 100
+    setting_up: int = 60
     held: int = 20000
     pace: float = 200.0
     burst: float = 400.0
