--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	touch $@
 
 demo: .venv-ci/made
-	.venv-ci/bin/herongap demo
+	@.venv-ci/bin/herongap demo
 
 test: .venv-ci/made
 	.venv-ci/bin/ruff check --no-cache .
