--- a/herongap/cli/experiment.py
+++ b/herongap/cli/experiment.py
@@ -1,5 +1,6 @@
 """`experiment`: settings, policies and versions compared on the same days of the fleet model."""
 
+import json
 import os
 import sys
 import time
@@ -115,6 +116,42 @@
     click.echo("\n".join(pages.text(pages.table(Experiment(plan, arms), results), [])))
 
 
+@experiment.command()
+@click.argument("day", type=FILE)
+@click.option("--seeds", default="1", show_default=True, help="Seeds, separated by commas.")
+@click.option("--policy", default="herongap", show_default=True)
+@click.option("--plays", default=8, show_default=True, type=click.IntRange(min=3))
+@click.option("--confidence", default=0.95, show_default=True, type=click.FloatRange(0.5, 0.999))
+@click.option("--workers", default=os.cpu_count(), show_default="all cores")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object for each seed.")
+def estimate(day, seeds, policy, plays, confidence, workers, as_json) -> None:
+    """What one play of DAY will serve, with the interval in which a single rehearsal of it is expected.
+
+    Each seed's day is played several times with other luck for its controllers; what strays in a rehearsal
+    beside that (the machine, TCP) is not in the interval.
+    """
+    from herongap.fleet.arms import PACKAGE, Arm
+    from herongap.fleet.baselines import POLICIES
+    from herongap.fleet.compare import foreseen
+    from herongap.fleet.runner import plays as play_all
+
+    if policy not in POLICIES:
+        raise click.UsageError(f"--policy is one of {', '.join(POLICIES)}")
+    arm = Arm(day.name, policy, str(PACKAGE / "rules.py"), (), str(day.resolve()), 0)
+    try:
+        for seed in map(int, seeds.split(",")):
+            results = play_all(arm, seed, plays, workers)
+            told = foreseen([r["service"] for r in results], confidence)
+            if as_json:
+                click.echo(json.dumps({"seed": seed, "policy": policy, **told._asdict()}))
+            else:
+                click.echo(
+                    f"seed {seed}: service {told.mean:.3f}, one play {told.low:.3f} to {told.high:.3f}"
+                )
+    except (Faults, ValueError) as fault:
+        raise click.ClickException(str(fault)) from fault
+
+
 @experiment.command()
 @click.argument("record", type=FILE)
 @click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="A PNG of the fits.")
--- a/herongap/fleet/compare.py
+++ b/herongap/fleet/compare.py
@@ -46,6 +46,17 @@
     return interval([a - b for a, b in zip(ours, control, strict=True)], alone)
 
 
+def foreseen(values: list[float], confidence: float) -> Interval:
+    """The mean of some plays of one day, with the interval in which one more play is expected.
+
+    The prediction interval of a normal sample: wider than the mean's own, for the next play strays too.
+    """
+    reach = float(stats.t.ppf((1 + confidence) / 2, len(values) - 1)) * float(np.std(values, ddof=1))
+    reach *= (1 + 1 / len(values)) ** 0.5
+    mean = float(np.mean(values))
+    return Interval(mean, mean - reach, mean + reach)
+
+
 def wanted(results: dict[str, list[float]], plan) -> int:
     """How many days each arm must have before the next look: 0 when there are enough.
 
--- a/herongap/fleet/day.py
+++ b/herongap/fleet/day.py
@@ -16,7 +16,7 @@
 Above = Annotated[float, Field(gt=0)]
 KINDS = (
     "die", "silent", "hang", "fail", "slow", "lose", "late", "sag", "ageing", "cut", "deploy", "drain",
-    "list_late", "crowd", "burst", "controllers", "empty_list",
+    "list_late", "crowd", "burst", "controllers", "empty_list", "notes_lost",
 )  # fmt: skip
 
 
@@ -120,6 +120,36 @@
     what: dict
 
 
+class Listing:
+    """The list of streamers as a day's orders change it: a standing and a start for each name."""
+
+    def __init__(self, names: list[str]):
+        self.standing: dict[str, str] = dict.fromkeys(names, "active")
+        self.started: dict[str, float | None] = dict.fromkeys(names)
+        self.hidden: set[str] = set()
+
+    def change(self, order: dict, at: float) -> None:
+        """Carry out an order of a day; `at` is when what it tells of happened, by the caller's clock."""
+        for name in order["on"]:
+            match order["standing"]:
+                case "started":
+                    self.standing[name], self.started[name] = "active", at
+                case "none":
+                    self.hidden.add(name)
+                case "back":
+                    self.hidden.discard(name)
+                case standing:
+                    self.standing[name] = standing
+
+    def shown(self) -> list[tuple[str, str, float | None]]:
+        """What a reader of the list sees: name, standing, start."""
+        return [(n, s, self.started[n]) for n, s in self.standing.items() if n not in self.hidden]
+
+    def gone(self) -> list[str]:
+        """Those to whom no new work may go."""
+        return [n for n, s in self.standing.items() if n in self.hidden or s != "active"]
+
+
 class Script(NamedTuple):
     arrivals: list[Arrival]
     orders: list[Order]
@@ -263,6 +293,8 @@
             return [farm(t.at, t.kind), farm(end, "sound", fault=t.kind)]
         case "fail":
             return [farm(t.at, "fail", part=min(1.0, t.size)), farm(end, "sound", fault="fail")]
+        case "notes_lost":
+            return [farm(t.at, "notes_lost", part=min(1.0, t.size)), farm(end, "sound", fault="notes_lost")]
         case "slow" | "late":
             return [farm(t.at, t.kind, by=t.extra), farm(end, "sound", fault=t.kind)]
         case "sag":
--- a/herongap/fleet/model.py
+++ b/herongap/fleet/model.py
@@ -12,7 +12,7 @@
 
 from herongap.fleet import day as days
 from herongap.fleet.clock import Clock, stream
-from herongap.fleet.day import LOOK, Arrival, Day, Order, Script
+from herongap.fleet.day import LOOK, Arrival, Day, Listing, Order, Script
 from herongap.fleet.machine import Kind, Machine, Rack, Session
 from herongap.host import Answer, Host
 from herongap.host.pulse import GONE, LOST, SILENT
@@ -161,6 +161,7 @@
         self.faults = self.machine.faults
         self.waiting: dict[tuple[str, Id, int], Front] = {}
         self.draw = stream(model.seed, "streamer", name)
+        self.notes_draw = stream(model.seed, "notes", name)
         self.silent_since: float | None = None
         self.tells = self.clock.now + self.draw.uniform(0, model.kind.tell)
 
@@ -318,12 +319,17 @@
             for name in sorted({session.front for session in self.machine.sessions.values()}):
                 front = self.model.names.get(name)
                 if front and not self.muted(front):
-                    if share < 0.98 or self.short:
+                    if (share < 0.98 or self.short) and self._arrives():
                         self.clock.after(WAY, front.told_share, self.name, share)
-                    if load:
+                    if load and self._arrives():
                         self.clock.after(WAY, front.told_load, self.name, load)
         self.short = share < 0.98
 
+    def _arrives(self) -> bool:
+        """Whether this one note does."""
+        lost = self.faults.get("notes_lost")
+        return lost is None or self.notes_draw.random() >= lost["part"]
+
 
 class Viewer:
     """One viewer of the script, from its first request to its last second."""
@@ -484,13 +490,8 @@
             self.machines[f"s{i}"] = Streamer(self, f"s{i}", days.zone_of(i, day), rack)
         self.racks = racks
         self.late = day.size.list_late
-        self.listing = {
-            name: Listed(
-                name, st.machine.zone, "std", name, name, days.rack_of(i, day), Standing.ACTIVE, 1.0, None
-            )
-            for i, (name, st) in enumerate(self.machines.items())
-        }
-        self.hidden: set[str] = set()
+        self.listing = Listing(list(self.machines))
+        self.racked = {f"s{i}": days.rack_of(i, day) for i in range(day.size.streamers)}
         self.held_most = self.held_sum = self.ticks = 0
 
     def log(self, who: str, what: str, **details) -> None:
@@ -556,29 +557,20 @@
                 self._start_front(number)
 
     def _relist(self, what: dict, at: float) -> None:
-        for name in what["on"]:
-            line = self.listing[name]
-            match what["standing"]:
-                case "started":
-                    self.listing[name] = line._replace(standing=Standing.ACTIVE, started=at)
-                case "none":
-                    self.hidden.add(name)
-                case "back":
-                    self.hidden.discard(name)
-                case standing:
-                    self.listing[name] = line._replace(standing=Standing[standing.upper()])
-        gone = [
-            n for n, line in self.listing.items() if n in self.hidden or line.standing is not Standing.ACTIVE
-        ]
-        self.log("stage", "listed", gone=gone)
+        self.listing.change(what, at)
+        self.log("stage", "listed", gone=self.listing.gone())
         for front in self.fronts.values():
             if front:
                 self.clock.after(LOOK / 2, self._list_to, front)
 
+    def _line(self, shown: tuple[str, str, float | None]) -> Listed:
+        name, standing, started = shown
+        zone, rack = self.machines[name].machine.zone, self.racked[name]
+        return Listed(name, zone, "std", name, name, rack, Standing[standing.upper()], 1.0, started)
+
     def _list_to(self, front: Front) -> None:
         if front.up:
-            lines = tuple(line for name, line in self.listing.items() if name not in self.hidden)
-            front.host.listed(self.clock.now, "whole", lines)
+            front.host.listed(self.clock.now, "whole", tuple(map(self._line, self.listing.shown())))
 
     def _kill_front(self, number: int) -> None:
         front = self.fronts[number]
--- a/herongap/fleet/runner.py
+++ b/herongap/fleet/runner.py
@@ -51,6 +51,13 @@
                 raise
 
 
+def plays(arm: Arm, seed: int, count: int, workers: int) -> list[dict]:
+    """The same day played `count` times, other luck for its controllers each time; in the order of luck."""
+    jobs = [(arm._replace(luck=luck), seed) for luck in range(count)]
+    found = {played.luck: result for played, _, result in _results(jobs, workers)}
+    return [found[luck] for luck in range(count)]
+
+
 def _results(jobs: list[tuple[Arm, int]], workers: int) -> Iterator[tuple[Arm, int, dict]]:
     """Each job's result as it comes, in any order."""
     if workers == 1 or len(jobs) < 2:
--- a/herongap/rehearsal/bench.py
+++ b/herongap/rehearsal/bench.py
@@ -9,7 +9,7 @@
 
 from herongap.fleet.day import Clients, Day, Machines, Share_, Size, Trouble
 
-STREAMERS, CONTROLLERS, RATE = 16, 4, 45.0
+STREAMERS, CONTROLLERS, RATE = 16, 4, 45.0  # what sockets on one machine bear
 REPEATS = {"safe": "harmless", "keyed": "in_group", "unsafe": "harmful"}
 # The bench's kind of trouble, ours, and what its size and extra become.
 KINDS = {
@@ -19,6 +19,7 @@
     "fast_errors": "fail",
     "answer_lost": "lose",
     "report_late": "late",
+    "report_gap": "notes_lost",
     "slow": "sag",
     "neighbour": "sag",
     "shared_slow": "sag",
@@ -30,27 +31,33 @@
     "hot_key": "crowd",
     "burst": "burst",
 }
+# Messages between controllers are held up: none are sent here, so such a trouble changes nothing.
+NO_MATTER = {"peer_down"}
 
 
 class Unplayable(ValueError):
     """A day with a kind of trouble that sockets cannot play here; it is named, never skipped."""
 
 
-def from_bench(drawn: dict) -> Day:
-    """The day of a file that the bench's draw wrote. Raises Unplayable or ValueError."""
+def from_bench(drawn: dict, whole: bool = False) -> Day:
+    """The day of a file that the bench's draw wrote, cut to what sockets bear, or `whole` for the model.
+
+    Raises Unplayable or ValueError.
+    """
     try:
-        return _day(drawn)
+        return _day(drawn, whole)
     except (KeyError, TypeError, IndexError) as fault:
         raise ValueError(f"not a drawn day of the streams family: {fault!r}") from fault
 
 
-def _day(drawn: dict) -> Day:
+def _day(drawn: dict, whole: bool) -> Day:
     fam, tier = drawn["fam"], drawn["tiers"][0]
-    unknown = sorted({t["kind"] for t in drawn["troubles"]} - set(KINDS))
+    unknown = sorted({t["kind"] for t in drawn["troubles"]} - KINDS.keys() - NO_MATTER)
     if unknown:
         raise Unplayable(f"no way to play {', '.join(unknown)}; known are {', '.join(sorted(KINDS))}")
-    streamers = min(STREAMERS, len(drawn["servers"]))
-    controllers = min(CONTROLLERS, len(drawn["balancers"]))
+    streamers, controllers = len(drawn["servers"]), len(drawn["balancers"])
+    if not whole:
+        streamers, controllers = min(STREAMERS, streamers), min(CONTROLLERS, controllers)
     seconds, rates = drawn["length"] / 1e6, [float(r) for r in fam["rates"]]
     kind = tier["kinds"][0]
     cores = kind["cores"]
@@ -58,11 +65,14 @@
     warm = kind["cold"] / 1e6
     load = drawn["traffic"]["load"]
     middle = rates[len(rates) // 2]
-    # So that arrivals at the middle rate fill the same part of the links: sessions are shortened to RATE.
-    length = max(1.0, load * streamers * link / middle / RATE)
+    # Sessions are shortened, so that a day's links fill, and arrivals are as many as fill the same part of
+    # them at the middle rate. Set-ups then come faster for a place than drawn; the model bears so many
+    # streamers that sessions need not be shorter than a warm-up, over which a cold streamer takes its places.
+    filled = load * streamers * link / middle
+    length = warm if whole else max(1.0, filled / RATE)
     size = Size(
         seconds=seconds,
-        rate=RATE,
+        rate=filled / length if whole else RATE,
         controllers=controllers,
         streamers=streamers,
         zones=len(drawn["zones"]),
@@ -114,7 +124,7 @@
 
 def _troubles(drawn: dict, streamers: int, seconds: float):
     servers, balancers = len(drawn["servers"]), len(drawn["balancers"])
-    for number, t in enumerate(drawn["troubles"]):
+    for number, t in enumerate(t for t in drawn["troubles"] if t["kind"] not in NO_MATTER):
         kind, at = KINDS[t["kind"]], t["at"] / 1e6
         lasts = max(0.5, min(t["len"] / 1e6, seconds - at))
         size, extra = t["size"], t["extra"]
@@ -129,6 +139,8 @@
             size = size / max(0.01, 1 - size)
         elif kind in ("late", "list_late"):
             extra = size
+        elif kind == "notes_lost":
+            size = 1.0
         name = f"{number} {t['kind']}"
         yield (
             name,
--- a/herongap/rehearsal/stage.py
+++ b/herongap/rehearsal/stage.py
@@ -20,6 +20,7 @@
 from herongap.fleet.day import (
     Arrival,
     Day,
+    Listing,
     Order,
     farm_kind,
     front_ini,
@@ -100,7 +101,8 @@
         self.script = script(day, seed)
         self.began = 0.0
         self.late = day.size.list_late
-        self.listing: dict[str, dict] = {}
+        self.listing = Listing([f"s{i}" for i in range(day.size.streamers)])
+        self.places: dict[str, dict] = {}
         self.fronts: dict[int, Address | None] = {}
         self.log_file = open(folder / "clients.jsonl", "w", encoding="utf-8")  # noqa: SIM115
         self.log = Log(self.log_file.write)
@@ -110,9 +112,9 @@
         """Play the whole day; returns when the last viewer is done and all processes have ended."""
         try:
             for i, (name, address) in enumerate(self.actors.start_farm().items()):
-                self.listing[name] = {
+                self.places[name] = {
                     "id": name, "url": f"http://{address[0]}:{address[1]}", "zone": zone_of(i, self.day),
-                    "rack": rack_of(i, self.day), "standing": "active", "started": None,
+                    "rack": rack_of(i, self.day),
                 }  # fmt: skip
             (self.folder / "catalogue.json").write_text(json.dumps({"titles": self.script.titles}))
             self._write_list()
@@ -160,26 +162,16 @@
                 self._start_front(number)
 
     def _relist(self, what: dict, at: float) -> None:
-        for name in what["on"]:
-            line = self.listing[name]
-            match what["standing"]:
-                case "started":
-                    line["standing"], line["started"] = "active", at + self.wall
-                case "none":
-                    line["hidden"] = True
-                case "back":
-                    line.pop("hidden", None)
-                case standing:
-                    line["standing"] = standing
+        self.listing.change(what, at + self.wall)
         self._write_list()
 
     def _write_list(self) -> None:
-        lines = [line for line in self.listing.values() if "hidden" not in line]
+        shown = self.listing.shown()
+        lines = [self.places[n] | {"standing": standing, "started": start} for n, standing, start in shown]
         new = self.folder / "streamers.json.new"
         new.write_text(json.dumps({"streamers": lines}))
         os.replace(new, self.folder / "streamers.json")
-        gone = [n for n, line in self.listing.items() if "hidden" in line or line["standing"] != "active"]
-        self.log("stage", "listed", gone=gone)
+        self.log("stage", "listed", gone=self.listing.gone())
 
     def _start_front(self, number: int) -> None:
         file = self.folder / f"controller-{number}.ini"
--- a/herongap/standins/streamer.py
+++ b/herongap/standins/streamer.py
@@ -296,6 +296,11 @@
                 for queue in queues:
                     queue.put(write_event(name, data))
 
+    def _note(self, name: str, data: dict) -> None:
+        lost = self.faults.get("notes_lost")
+        if lost is None or self.farm.random.random() >= lost["part"]:
+            self._tell(name, data)
+
     def _report(self) -> None:
         """Load every `tell` seconds; the share delivered each second while it is short, and once more
         after.
@@ -307,12 +312,12 @@
             now = self.clock()
             share = self.machine.share_at(now - late)
             if share < 0.98 or self._short:
-                self._tell("delivery", {"share": round(share, 4)})
+                self._note("delivery", {"share": round(share, 4)})
             self._short = share < 0.98
             if now >= told:
                 told = now + self.kind.tell
                 load = self.machine.load(now - late)
-                self._tell("load", {"link": round(load.link, 4), "rack": round(load.rack, 4)})
+                self._note("load", {"link": round(load.link, 4), "rack": round(load.rack, 4)})
 
     def _consent(self) -> None:
         while True:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """The model: its formulas, its sameness for a seed, its rules, and what experiments say of it."""
 
+import json
 import os
 import signal
 import threading
@@ -137,6 +138,7 @@
         "list_late",
         "empty_list",
         "controllers",
+        "notes_lost",
     ],
 )
 def test_every_kind_of_trouble_keeps_the_rules_in_the_model(tmp_path, trouble):
@@ -225,6 +227,12 @@
         not compare.paired(list(draw.normal(0, 1, 12)), [0.0] * 12, 0.95, 2).differs for _ in range(2000)
     )
     assert 0.935 < hits / 2000 < 0.965
+    hits = 0
+    for _ in range(2000):
+        one, *others = draw.normal(3, 2, 9)
+        told = compare.foreseen(others, 0.95)
+        hits += told.low <= one <= told.high
+    assert 0.935 < hits / 2000 < 0.965, "one more play falls into the interval as often as it says"
     wide = compare.paired([1.0, 2.0, 4.0], [0.0] * 3, 0.95, 4)
     assert wide.half > compare.paired([1.0, 2.0, 4.0], [0.0] * 3, 0.95, 2).half
     plan = type("P", (), {"least": 4, "most": 20, "batch": 3, "confidence": 0.95, "half_width": 0.1})
@@ -291,6 +299,34 @@
         fit_record(lines[:2])
 
 
+def test_notes_that_are_lost_reach_no_controller(tmp_path):
+    text = DAY + "[trouble x]\nkind = notes_lost\nat = 0\nlasts = 3\npart = 1\nsize = %s\n"
+    told = {}
+    for share in ("1", "0"):
+        (tmp_path / "day.ini").write_text(text % share)
+        model = Model(read_day(tmp_path / "day.ini"), 2)
+        told[share] = []
+        for machine in model.machines.values():
+            machine._arrives = lambda there=machine._arrives, notes=told[share]: (
+                notes.append(there()) or notes[-1]
+            )
+        model.run()
+    assert told["0"] and all(told["0"])
+    first = told["1"].index(True)
+    assert first > 0 and all(told["1"][first:]), "none until the trouble ends, all from then on"
+
+
+def test_an_estimate_is_the_same_again_and_names_its_interval(tmp_path):
+    (tmp_path / "day.ini").write_text(DAY)
+    asked = ["experiment", "estimate", str(tmp_path / "day.ini"), "--plays", "3", "--json", "--workers"]
+    one, two = (CliRunner().invoke(main, [*asked, workers]) for workers in ("1", "2"))
+    assert one.exit_code == 0 and one.output == two.output, one.output
+    told = json.loads(one.output)
+    assert told["low"] < told["mean"] < told["high"]
+    refused = CliRunner().invoke(main, [*asked, "1", "--policy", "magic"])
+    assert refused.exit_code == 2 and "least-used" in refused.output
+
+
 def test_the_command_runs_resumes_and_reports(tmp_path):
     experiment(tmp_path, least=2, most=2)
     run = CliRunner()
