--- a/herongap/fleet/day.py
+++ b/herongap/fleet/day.py
@@ -67,6 +67,7 @@
     cold_start: Annotated[float, Field(gt=0, le=1)] = 0.4
     fall_multiple: Above = 2.5
     tip_after: Above = 1.0
+    slack: Annotated[float, Field(ge=0)] = 0.0
     told_late: Seconds = 0.4
     tell: Above = 2.0
 
@@ -370,6 +371,7 @@
         "cold_start": m.cold_start,
         "fall_multiple": m.fall_multiple,
         "tip_after": m.tip_after,
+        "slack": m.slack,
         "told_late": m.told_late,
         "tell": m.tell,
     }
--- a/herongap/fleet/machine.py
+++ b/herongap/fleet/machine.py
@@ -15,9 +15,10 @@
     """What all streamers of a farm have in common.
 
     `link` is a streamer's, `rack` a rack's uplink; it falls over where in `tip_after` seconds more set-ups
-    come than `fall_multiple` times places / warm_up, times the share that it has warmed. `sharing` is how an
-    uplink is shared among its streamers, "equal" or "max_min". Under `leave_under` of its rate a viewer
-    leaves at a rate of `leave_rate` a second times what is missing to that.
+    come than `fall_multiple` times places / warm_up, times the share that it has warmed, and `slack` set-ups
+    on top. `sharing` is how an uplink is shared among its streamers, "equal" or "max_min". Under
+    `leave_under` of its rate a viewer leaves at a rate of `leave_rate` a second times what is missing to
+    that.
     """
 
     ladder: tuple[float, ...]
@@ -30,6 +31,7 @@
     cold_start: float = 0.4
     fall_multiple: float = 2.5
     tip_after: float = 1.0
+    slack: float = 0.0
     set_up: tuple[float, float] = (0.005, 0.03)
     tell: float = 2.0
     told_late: float = 0.4
@@ -104,7 +106,7 @@
         if self.fallen or self.started is None or now - self.started >= k.warm_up:
             return None
         most = max(1.0, k.fall_multiple * k.tip_after * k.places / k.warm_up * self.warmth(now))
-        self.fallen = len(self.set_ups) > most
+        self.fallen = len(self.set_ups) > most + k.slack
         return most if self.fallen else None
 
     def begin(self, now: float, session: Session) -> None:
--- a/herongap/rehearsal/bench.py
+++ b/herongap/rehearsal/bench.py
@@ -10,6 +10,8 @@
 from herongap.fleet.day import Clients, Day, Machines, Share_, Size, Trouble
 
 STREAMERS, CONTROLLERS, RATE = 16, 4, 45.0  # what sockets on one machine bear
+SLACK = 1.0  # set-ups more that a cold streamer bears: the bench allows a little for chance
+LONG = 3.0  # warm-ups that a viewing of a whole day lasts on the mean
 REPEATS = {"safe": "harmless", "keyed": "in_group", "unsafe": "harmful"}
 # The bench's kind of trouble, ours, and what its size and extra become.
 KINDS = {
@@ -66,10 +68,10 @@
     load = drawn["traffic"]["load"]
     middle = rates[len(rates) // 2]
     # Sessions are shortened, so that a day's links fill, and arrivals are as many as fill the same part of
-    # them at the middle rate. Set-ups then come faster for a place than drawn; the model bears so many
-    # streamers that sessions need not be shorter than a warm-up, over which a cold streamer takes its places.
+    # them at the middle rate. For a place, set-ups then come faster than drawn; in the model, which bears
+    # more streamers, sessions stay long beside a warm-up, in which a cold streamer takes its places once.
     filled = load * streamers * link / middle
-    length = warm if whole else max(1.0, filled / RATE)
+    length = LONG * warm if whole else max(1.0, filled / RATE)
     size = Size(
         seconds=seconds,
         rate=filled / length if whole else RATE,
@@ -99,6 +101,7 @@
         cold_start=kind["cold_from"],
         fall_multiple=drawn["fall_multiple"],
         tip_after=drawn["fall_for"] / 1e6,
+        slack=SLACK if whole else 0.0,
         told_late=fam["see"] / 1e6,
         tell=max(0.5, fam["tell"] / 1e6),
     )
