--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -32,6 +32,7 @@
 HOLD, FIRST = 0.4, 0.45  # parts of the join target: held without room; taken by a first tune-in
 FADE = 16.0             # seconds in which word of others' use fades
 PACE = 0.6              # part of the allowance for cold streamers that is used
+RUSH = 4                # playing viewings that one in wait counts as where controllers share a slot
 FLOOD, LEAST = 4.0, 5.0  # a member floods at so many times its usual rate and so many viewings a second more
 FLOOD_MARK = 0.5        # part of links and of places that a flood may fill
 FORGET, COME_BACK = 120.0, 0.5  # a streamer that left is forgotten; a blocked viewer may come again
@@ -407,7 +408,9 @@
             # all it has to the one that is empty: what it has not heard of for so long takes one a slot.
             return now - st.since >= self.warm_up or slot != st.slot
         # No more share a slot than viewings share a streamer: among hundreds, each would wait for minutes.
-        turns = min(self.controllers, 1 + len(self.viewings) * self.controllers // len(self.streamers))
+        # Those that wait for room all meet at the streamer that has just started.
+        much = len(self.viewings) + RUSH * len(self.waiting)
+        turns = min(self.controllers, 1 + much * self.controllers // len(self.streamers))
         return slot % turns == self.me % turns and slot != st.slot
 
     def failed(self, now: float, vw: Viewing, st: Streamer, how: Ending) -> None:
