etcd: follower, leases, client, remembered list and stand-in, checked over all interleavings

The list of streamers reaches controllers late, and they do not know each other.

The number of live controllers and this one's rank reach the module (counted); without a rank nothing goes to a cold streamer.

--- a/herongap/cli/serve.py
+++ b/herongap/cli/serve.py
@@ -49,10 +49,10 @@
     """
     site = load(file)
     faults = []
-    for path, read in (
-        (site.streamers.list, lambda data: read_list(data, 0.0)),
-        (site.catalogue.file, read_catalogue),
-    ):
+    files = [(site.catalogue.file, read_catalogue)]
+    if site.streamers.list:
+        files.insert(0, (site.streamers.list, lambda data: read_list(data, 0.0)))
+    for path, read in files:
         try:
             read(Path(path).read_bytes())
         except (OSError, ValueError) as fault:
--- /dev/null
+++ b/herongap/daemon/etcd.py
@@ -0,0 +1,313 @@
+"""The gevent client of etcd: carries between sockets and the machines of `herongap.etcd`, which decide."""
+
+import time
+from collections.abc import Callable
+
+import gevent
+import h11
+import structlog
+
+from herongap.daemon.remembered import Remembered
+from herongap.daemon.wire import Address, Call, Hung, Pool
+from herongap.etcd import Directory, Endpoints, Follower, Frames, Membership, Need, Refused, Step, Told
+from herongap.etcd import messages as m
+from herongap.etcd.keys import changed_value
+from herongap.ini.site import Etcd
+
+PAGE = 1000  # keys of one page of a read
+NETWORK = (OSError, Hung, h11.RemoteProtocolError, Refused, m.Garbled)
+log = structlog.get_logger()
+
+
+class Client:
+    """Unary calls to one cluster, with its token where it asks for one."""
+
+    def __init__(self, terms: Etcd, name: str):
+        self.terms, self.name, self.token = terms, name, ""
+        self.pools: dict[str, Pool] = {}
+
+    def headers(self) -> list[tuple[str, str]]:
+        told = [("User-Agent", self.name), ("Content-Type", "application/json")]
+        return told + ([("Authorization", self.token)] if self.token else [])
+
+    def call(self, address: str, path: str, body: bytes, kind: type):
+        """One request; raises OSError, Refused or Garbled. An expired token is made anew, once."""
+        if self.terms.user and not self.token:
+            self._authenticate(address)
+        try:
+            return self._call(address, path, body, kind)
+        except Refused as fault:
+            if fault.code != m.UNAUTHENTICATED or not self.terms.user:
+                raise
+        self._authenticate(address)
+        return self._call(address, path, body, kind)
+
+    def _call(self, address: str, path: str, body: bytes, kind: type):
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = self.pools[address] = Pool(reached(address), self.terms.connect)
+        reply = pool.call("POST", path, self.headers(), body, self.terms.time_out)
+        if reply.status != 200:
+            raise m.refusal(reply.body)
+        return m.read(reply.body, kind)
+
+    def forget_token(self) -> None:
+        self.token = ""
+
+    def _authenticate(self, address: str) -> None:
+        self.token = ""
+        body = m.authenticate_body(self.terms.user, self.terms.secret())
+        self.token = self._call(address, "/v3/auth/authenticate", body, m.Token).token
+
+    def close(self) -> None:
+        for pool in self.pools.values():
+            pool.close()
+
+
+def reached(address: str) -> Address:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Feed:
+    """The list of streamers over etcd, for one controller.
+
+    `listed(kind, lines, addresses)` is told of every change, `counted(rank, count)` of every change of this
+    controller's place among the live ones.
+    """
+
+    def __init__(self, terms: Etcd, number: int, expected: int, seed: int, name: str, clock: Callable,
+                 listed: Callable, counted: Callable):  # fmt: skip
+        self.terms, self.name, self.clock = terms, name, clock
+        self.listed, self.counted = listed, counted
+        self.client = Client(terms, name)
+        self.endpoints = Endpoints(terms.endpoints, seed)
+        self.follower = Follower()
+        self.directory = Directory(terms.prefix, clock() - time.time())
+        self.membership = Membership(number, expected, terms.ttl)
+        self.key = f"{terms.prefix}controllers/{number}"
+        self.store = Remembered(terms.remembered) if terms.remembered else None
+        self.known_at: float | None = None  # when the list was last known to be whole
+        self.from_store, self.place = False, None
+        self._stream: Call | None = None
+        self._stored = 0
+
+    @property
+    def state(self) -> str:
+        """In one word, for operators; the page `operators/etcd.md` says what each means."""
+        if self.follower.watching:
+            return "following"
+        if self.known_at is None:
+            return "remembered" if self.from_store else "starting"
+        return "reading" if self.follower.need is Need.READ else "lost"
+
+    def told(self) -> dict:
+        """Where the list stands, for operators."""
+        f, now = self.follower, self.clock()
+        age = None if self.known_at is None else round(now - self.known_at, 3)
+        controllers = {str(n): name for n, name in sorted(self.directory.controllers.items())}
+        return {
+            "state": self.state, "revision": f.revision, "seen": f.seen, "cluster": f"{f.cluster:x}",
+            "age": age, "counts": f.counts, "bad": self.directory.bad,
+            "drains": sorted(self.directory.drains),
+            "controllers": controllers, "number": self.membership.number,
+            "holds_number": self.membership.holds(now), "place": self.place and list(self.place),
+        }  # fmt: skip
+
+    def start(self) -> list:
+        """Take what is remembered, then follow; gives the greenlets that do."""
+        kept = self.store.load() if self.store else None
+        if kept:
+            self.follower = Follower(*kept)
+            self.from_store = True
+            self._publish("remembered", first=True)
+            log.warning("list remembered", streamers=len(self.directory.streamers), revision=kept[1])
+        runs = (self._follow, self._live, *((self._keep,) if self.store else ()))
+        return [gevent.spawn(run) for run in runs]
+
+    # The list.
+
+    def _follow(self) -> None:
+        while True:
+            address = self.endpoints.choose(self.clock())
+            try:
+                if self.follower.need is Need.READ:
+                    self._read(address)
+                else:
+                    self._watch(address)
+            except NETWORK as fault:
+                self.endpoints.failed(address)
+                if isinstance(fault, Refused) and fault.code == m.UNAUTHENTICATED:
+                    self.client.forget_token()
+                log.warning("etcd failed", member=address, cause=repr(fault), state=self.state)
+            gevent.sleep(self.endpoints.wait())
+
+    def _read(self, address: str) -> None:
+        told = Told.PART
+        while told is Told.PART:
+            after, revision = self.follower.read_from()
+            first = after.encode("utf-8", "surrogateescape") + b"\0" if after else self.terms.prefix
+            body = m.range_body(first, m.end_of(self.terms.prefix), revision, PAGE)
+            try:
+                reply = self.client.call(address, "/v3/kv/range", body, m.Range)
+            except NETWORK:
+                self.follower.unread()
+                raise
+            told = self.follower.paged(reply)
+        if not self._worth(address, told, reply.header.cluster_id):
+            return
+        self.endpoints.fine(address)
+        first = self.known_at is None and not self.from_store
+        self.from_store, self.known_at = False, self.clock()
+        self._publish("whole", first)
+        log.info("list read", member=address, revision=self.follower.revision,
+                 streamers=len(self.directory.streamers), bad=len(self.directory.bad))  # fmt: skip
+
+    def _watch(self, address: str) -> None:
+        turn, start = self.follower.watch_from()
+        if self.terms.user and not self.client.token:
+            self.client._authenticate(address)
+        call = self._stream = Call(reached(address), self.terms.connect)
+        frames = Frames()
+        try:
+            call.send("POST", "/v3/watch", self.client.headers(), m.watch_body(self.terms.prefix, start))
+            head = call.head(self.clock() + self.terms.time_out)
+            if head.status != 200:
+                raise m.refusal(b"".join(call.chunks(self.terms.time_out)))
+            while True:
+                quiet = self.terms.silent if self.follower.watching else self.terms.time_out
+                try:
+                    chunk = call.chunk(quiet)
+                except TimeoutError:
+                    if not self.follower.watching:
+                        raise
+                    # Nothing to tell, or cut off from the others and unable to: a new watch misses nothing.
+                    self.endpoints.quiet(address)
+                    return
+                if chunk is None:
+                    raise ConnectionResetError("the stream ended")
+                for line in frames.feed(chunk):
+                    if not self._told(turn, address, m.read_line(line, m.Watch)):
+                        return
+                self._publish("changes")
+        finally:
+            self.follower.broke(turn)
+            call.close()
+            self._publish("changes")
+
+    def _told(self, turn: int, address: str, reply: m.Watch) -> bool:
+        """Whether this watch is worth going on with."""
+        told = self.follower.watched(turn, reply)
+        if told is Told.TAKEN:
+            self.known_at = self.clock()
+        if reply.created and told is Told.TAKEN:
+            self.endpoints.fine(address)
+        if told in (Told.ENDED, Told.COMPACTED):
+            log.warning("watch ended", member=address, cause=reply.cancel_reason, word=told.value)
+            if told is Told.ENDED:
+                self.endpoints.failed(address)
+            return False
+        return self._worth(address, told, reply.header.cluster_id)
+
+    def _worth(self, address: str, told: Told, cluster: int) -> bool:
+        if told is Told.BEHIND:
+            self.endpoints.behind(self.clock(), address)
+            log.warning("etcd member behind", member=address, seen=self.follower.seen)
+            return False
+        if told is Told.FOREIGN:
+            log.error("etcd member of another cluster", member=address, cluster=cluster)
+            if self.endpoints.foreign(self.clock(), address, cluster):
+                log.error("another cluster followed, every member names it", cluster=cluster)
+                self.follower.adopt(cluster)
+            return False
+        return True
+
+    def _publish(self, kind: str, first: bool = False) -> None:
+        """Tell what has changed; a whole list is told whole, so that what vanished is known to."""
+        changes = self.follower.changes()
+        if not changes and kind == "changes":
+            return
+        touched = self.directory.take(self.clock(), changes, first)
+        lines = self.directory.lines(touched) if kind == "changes" else self.directory.whole()
+        if touched or kind != "changes":
+            self.listed(kind, lines, self.directory.addresses())
+        self._reckon()
+
+    # Controllers.
+
+    def _live(self) -> None:
+        """Hold the lease and the number; told again whenever the place has changed, by time alone too."""
+        while True:
+            now = self.clock()
+            step = self.membership.step(now)
+            if step:
+                try:
+                    self._ask(step, now)
+                except NETWORK as fault:
+                    self.membership.failed(self.clock())
+                    log.warning("lease not kept", step=step.value, cause=repr(fault))
+                    if isinstance(fault, Refused) and fault.code == 5:
+                        self.membership.lapsed()
+            self._reckon()
+            gevent.sleep(min(0.2, max(0.01, self.membership.due - self.clock())))
+
+    def _ask(self, step: Step, now: float) -> None:
+        address = self.endpoints.choose(now)
+        match step:
+            case Step.GRANT:
+                reply = self.client.call(
+                    address, "/v3/lease/grant", m.grant_body(int(self.terms.ttl)), m.Lease
+                )
+                self.membership.granted(now, reply.ID, reply.TTL)
+            case Step.CLAIM:
+                value = changed_value(None, name=self.name)
+                body = m.claim_body(self.key, value, self.membership.lease)
+                won = self.client.call(address, "/v3/kv/txn", body, m.Txn).succeeded
+                self.membership.claim_answered(self.clock(), now, won)
+                if not won:
+                    log.warning("number held by another", key=self.key)
+            case Step.KEEP:
+                body = m.lease_body(self.membership.lease)
+                call = self.client.call(address, "/v3/lease/keepalive", body, _Kept)
+                self.membership.kept(now, call.result.TTL)
+
+    def _reckon(self) -> None:
+        live = None if self.known_at is None else self.directory.controllers
+        place = self.membership.place(self.clock(), live)
+        if place != self.place:
+            self.place = place
+            self.counted(*place)
+
+    # The store.
+
+    def _keep(self) -> None:
+        while True:
+            gevent.sleep(self.terms.keep)
+            self._save()
+
+    def _save(self) -> None:
+        f = self.follower
+        if self.known_at is not None and f.revision != self._stored:
+            self._stored = f.revision
+            self.store.save(f.cluster, f.revision, f.items)
+
+    def close(self) -> None:
+        """Leave the number free for the next process, if that can be done at once; keep the list."""
+        if self._stream:
+            self._stream.close()
+        if self.membership.lease:
+            try:
+                address = self.endpoints.choose(self.clock())
+                body = m.lease_body(self.membership.lease)
+                with gevent.Timeout(0.5, OSError("too slow")):
+                    self.client.call(address, "/v3/lease/revoke", body, m.Lease)
+            except NETWORK as fault:
+                log.info("lease left to run out", cause=repr(fault))
+        if self.store:
+            self._save()
+            self.store.close()
+        self.client.close()
+
+
+class _Kept(m.msgspec.Struct):
+    result: m.Lease
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -1,5 +1,6 @@
 """One front put together: host, port, HTTP, files, timer, and an orderly end."""
 
+import json
 import os
 import signal
 import time
@@ -9,6 +10,7 @@
 import structlog
 from gevent.event import Event
 
+from herongap.daemon.etcd import Feed
 from herongap.daemon.feed import Watched, epoch
 from herongap.daemon.front import Front
 from herongap.daemon.streamers import Streamers
@@ -17,6 +19,7 @@
 from herongap.http import Reply, Request, problem
 from herongap.ini import Site, read_catalogue, read_list
 from herongap.intake import Intake
+from herongap.interface import Listed
 from herongap.observe.metrics import TEXT, Figures
 from herongap.rules import Controller
 
@@ -40,7 +43,13 @@
         self.host = Host(clock(), site.front.seed, site.charter, self.port, recorder, make)
         self.port.host = self.host
         self.catalogue = None
-        self.list = Watched(site.streamers.list, self._listed, site.streamers.look)
+        self.list = self.feed = None
+        if site.etcd is None:
+            self.list = Watched(site.streamers.list, self._listed, site.streamers.look)
+        else:
+            f = site.front
+            told = self._fed, self._counted
+            self.feed = Feed(site.etcd, f.number, f.controllers, f.seed, self.name, clock, *told)
         self.titles = Watched(site.catalogue.file, self._catalogued, 1.0)
         self.front: Front | None = None
         self.server: Server | None = None
@@ -56,7 +65,8 @@
     def start(self) -> None:
         """Read the files, then listen; raises OSError or ValueError where one cannot be used."""
         self.titles.read()
-        self.list.read()
+        if self.list:
+            self.list.read()
         site = self.site
         self.front = Front(site, self.host, self.port, self.intake, self.catalogue, self.clock)
         host, _, port = site.front.listen.rpartition(":")
@@ -64,8 +74,10 @@
         if site.front.metrics:
             host, _, port = site.front.metrics.rpartition(":")
             self.metrics = Server(listen((host, int(port))), self._scraped, site.bounds)
-        runs = (self.port.run, self.list.run, self.titles.run, self._beat, self._feel)
+        runs = (self.port.run, self.titles.run, self._beat, self._feel)
         self._greenlets = [gevent.spawn(run) for run in runs]
+        # With etcd a front listens before it has a list: it starts on what it remembers, or blocks.
+        self._greenlets += self.feed.start() if self.feed else [gevent.spawn(self.list.run)]
         log.info("listening", address="{}:{}".format(*self.address), name=self.name)
 
     def stop(self) -> None:
@@ -89,6 +101,8 @@
 
     def kill(self) -> None:
         """Close everything at once."""
+        if self.feed:
+            self.feed.close()
         for server in (self.server, self.metrics):
             if server:
                 server.close()
@@ -112,13 +126,35 @@
         self.host.listed(self.clock(), "whole", lines)
         log.info("list taken", streamers=len(lines))
 
+    def _fed(self, kind: str, lines: tuple[Listed, ...], addresses: dict[str, Address]) -> None:
+        self.port.addresses |= addresses
+        self.host.listed(self.clock(), kind, lines)
+
+    def _counted(self, rank: int | None, count: int) -> None:
+        self.host.counted(self.clock(), rank, count)
+
     def _catalogued(self, data: bytes) -> None:
         self.catalogue = read_catalogue(data)
         if self.front:
             self.front.catalogue = self.catalogue
 
+    def listing(self) -> dict:
+        """The whole list as this controller sees it: each streamer's standing, and where the list is from."""
+        told = {
+            str(name): {
+                "standing": standing.name.lower(),
+                "address": "{}:{}".format(*self.port.addresses[name]) if name in self.port.addresses else "",
+            }
+            for name, standing in sorted(self.host.standing.items())
+        }
+        return {"streamers": told, "source": self.feed.told() if self.feed else {"state": "file"}}
+
     def _scraped(self, request: Request, peer: Peer) -> Reply:
-        if request.path != ["metrics"] or request.method not in ("GET", "HEAD"):
+        if request.method not in ("GET", "HEAD"):
+            return problem("bad-method")
+        if request.path == ["list"]:
+            return Reply(200, (("Content-Type", "application/json"),), json.dumps(self.listing()).encode())
+        if request.path != ["metrics"]:
             return problem("no-such-page")
         return Reply(200, (("Content-Type", TEXT),), self._figures.text())
 
--- a/herongap/daemon/wire.py
+++ b/herongap/daemon/wire.py
@@ -262,9 +262,13 @@
 
     def chunks(self, quiet: float):
         """The body as it comes; each chunk may take `quiet` seconds."""
-        while (chunk := self._data(time.monotonic() + quiet)) is not None:
+        while (chunk := self.chunk(quiet)) is not None:
             yield chunk
 
+    def chunk(self, quiet: float) -> bytes | None:
+        """What comes next of the body within `quiet` seconds, None at its end."""
+        return self._data(time.monotonic() + quiet)
+
     def _data(self, deadline: float) -> bytes | None:
         event = self._event(deadline)
         return bytes(event.data) if isinstance(event, h11.Data) else None
--- /dev/null
+++ b/herongap/etcd/messages.py
@@ -0,0 +1,222 @@
+"""Requests and replies of etcd's v3 JSON gateway (etcd.io, "API reference", rpc.proto through grpc-gateway).
+
+Keys and values are base64 in JSON, 64-bit integers are strings, fields at their zero value are left out.
+Streams are JSON objects on lines of their own, each `{"result": ...}` or `{"error": ...}`.
+"""
+
+import base64
+from typing import Literal
+
+import msgspec
+
+COMPACTED = 11  # gRPC OUT_OF_RANGE: a revision that is gone, or is not there yet
+UNAUTHENTICATED = 16
+FRAME = 32 << 20  # bytes of one stream object; etcd fragments watch replies far below
+
+
+class Refused(Exception):
+    """The server's refusal: its gRPC `code` and message."""
+
+    def __init__(self, code: int, message: str):
+        super().__init__(message)
+        self.code = code
+
+    @property
+    def compacted(self) -> bool:
+        return self.code == COMPACTED and "compacted" in str(self)
+
+
+class Garbled(ValueError):
+    """A reply that is not what the API gives."""
+
+
+class Header(msgspec.Struct):
+    cluster_id: int = 0
+    member_id: int = 0
+    revision: int = 0
+    raft_term: int = 0
+
+
+class KeyValue(msgspec.Struct):
+    """A key as the store holds it; a deletion has its key and `mod_revision` alone."""
+
+    key: bytes = b""
+    value: bytes = b""
+    create_revision: int = 0
+    mod_revision: int = 0
+    version: int = 0
+    lease: int = 0
+
+
+class Event(msgspec.Struct):
+    kv: KeyValue
+    type: Literal["PUT", "DELETE"] = "PUT"
+
+
+class Range(msgspec.Struct):
+    header: Header
+    kvs: list[KeyValue] = []
+    more: bool = False
+    count: int = 0
+
+
+class Watch(msgspec.Struct):
+    """One message of a watch stream."""
+
+    header: Header
+    watch_id: int = 0
+    created: bool = False
+    canceled: bool = False
+    compact_revision: int = 0
+    cancel_reason: str = ""
+    fragment: bool = False
+    events: list[Event] = []
+
+
+class Lease(msgspec.Struct):
+    """The answer to a grant or a keep-alive; a `TTL` of 0 is a lease that is gone."""
+
+    header: Header = msgspec.field(default_factory=Header)
+    ID: int = 0
+    TTL: int = 0
+    error: str = ""
+
+
+class Txn(msgspec.Struct):
+    header: Header
+    succeeded: bool = False
+
+
+class Put(msgspec.Struct):
+    header: Header
+
+
+class Token(msgspec.Struct):
+    token: str = ""
+
+
+class _Fault(msgspec.Struct):
+    """The gateway's error in its forms: flat for unary calls, nested in streams, `grpc_code` in old ones."""
+
+    code: int = 0
+    grpc_code: int = 0
+    message: str = ""
+    error: str = ""
+
+
+class _Line(msgspec.Struct):
+    result: msgspec.Raw = msgspec.Raw(b"")
+    error: msgspec.Raw = msgspec.Raw(b"")
+
+
+def b64(data: str | bytes) -> str:
+    return base64.b64encode(data.encode() if isinstance(data, str) else data).decode("ascii")
+
+
+def end_of(prefix: str) -> bytes:
+    """The end of the range of all keys with a prefix (etcd, "Interacting": prefix ranges)."""
+    data = prefix.encode()
+    for i in range(len(data) - 1, -1, -1):
+        if data[i] < 0xFF:
+            return data[:i] + bytes([data[i] + 1])
+    return b"\0"
+
+
+def range_body(first: str | bytes, end: bytes, revision: int = 0, limit: int = 0) -> bytes:
+    """Keys in order, at a revision or (0) as they are now, linearizable."""
+    asked = {"key": b64(first), "range_end": b64(end)}
+    if revision:
+        asked["revision"] = str(revision)
+    if limit:
+        asked["limit"] = str(limit)
+    return msgspec.json.encode(asked)
+
+
+def watch_body(prefix: str, start: int) -> bytes:
+    """Every change from a revision on, with notes of progress, large replies in fragments."""
+    create = {
+        "key": b64(prefix), "range_end": b64(end_of(prefix)), "start_revision": str(start),
+        "progress_notify": True, "fragment": True,
+    }  # fmt: skip
+    return msgspec.json.encode({"create_request": create})
+
+
+def put_body(key: str, value: bytes, lease: int = 0) -> bytes:
+    return msgspec.json.encode({"key": b64(key), "value": b64(value), "lease": str(lease)})
+
+
+def delete_body(key: str) -> bytes:
+    return msgspec.json.encode({"key": b64(key)})
+
+
+def claim_body(key: str, value: bytes, lease: int) -> bytes:
+    """Put a key under a lease if nobody holds it (a transaction on its create revision)."""
+    put = {"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}
+    compare = {"key": b64(key), "target": "CREATE", "result": "EQUAL", "create_revision": "0"}
+    return msgspec.json.encode({"compare": [compare], "success": [put], "failure": []})
+
+
+def grant_body(ttl: int) -> bytes:
+    return msgspec.json.encode({"TTL": str(ttl), "ID": "0"})
+
+
+def lease_body(lease: int) -> bytes:
+    return msgspec.json.encode({"ID": str(lease)})
+
+
+def authenticate_body(user: str, password: str) -> bytes:
+    return msgspec.json.encode({"name": user, "password": password})
+
+
+def read(data: bytes, kind: type):
+    """A unary reply; raises Refused for the server's refusal, Garbled for anything else."""
+    try:
+        return msgspec.json.decode(data, type=kind, strict=False)
+    except msgspec.MsgspecError as fault:
+        raise _refusal(data) or Garbled(f"not a {kind.__name__}: {fault}") from fault
+
+
+def refusal(data: bytes) -> Exception:
+    """What a reply with an error status says."""
+    return _refusal(data) or Garbled("an error without a reason")
+
+
+def _refusal(data: bytes) -> Refused | None:
+    try:
+        fault = msgspec.json.decode(data, type=_Fault, strict=False)
+    except msgspec.MsgspecError:
+        return None
+    message = fault.message or fault.error
+    return Refused(fault.code or fault.grpc_code, message) if message else None
+
+
+def read_line(line: bytes, kind: type):
+    """One object of a stream; raises Refused or Garbled."""
+    try:
+        part = msgspec.json.decode(line, type=_Line)
+    except msgspec.MsgspecError as fault:
+        raise Garbled(f"not a line of a stream: {fault}") from fault
+    if bytes(part.error):
+        raise refusal(bytes(part.error))
+    if not bytes(part.result):
+        raise Garbled("a line with neither result nor error")
+    return read(bytes(part.result), kind)
+
+
+class Frames:
+    """A stream's bytes cut into its lines; one that is longer than FRAME is refused, not kept."""
+
+    def __init__(self):
+        self._kept = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that are whole now. Raises Garbled."""
+        *lines, rest = data.split(b"\n")
+        if lines:
+            lines[0] = bytes(self._kept) + lines[0]
+            self._kept = bytearray(rest)
+        else:
+            self._kept += rest
+        if len(self._kept) > FRAME:
+            raise Garbled("a line longer than is taken")
+        return [line for line in lines if line.strip()]
--- a/herongap/host/host.py
+++ b/herongap/host/host.py
@@ -54,6 +54,8 @@
             self.standing = {}
         for line in lines:
             self.standing[line.streamer] = line.standing
+            if kind == "changes" and line.standing is Standing.LEFT:
+                del self.standing[line.streamer]  # each deploy brings new names: they would pile up
         self.module.listed(now, kind, lines)
         self._pump(now)
 
@@ -139,6 +141,12 @@
             self.module.probed(now, streamer, how, taken, load)
         self._pump(now)
 
+    def counted(self, now: float, rank: int | None, controllers: int) -> None:
+        """How many controllers live, and which of them (from 0) this one is; None while that is in doubt."""
+        self._enter(now, "counted", rank, controllers)
+        self.module.counted(now, rank, controllers)
+        self._pump(now)
+
     def heard(self, now: float, peer: int, words: bytes) -> None:
         """A message of another controller."""
         self._enter(now, "heard", peer, words)
--- a/herongap/host/record.py
+++ b/herongap/host/record.py
@@ -27,6 +27,7 @@
     "share_told": (Id, float),
     "load_told": (Id, bool, Id | None, float),
     "probed": (Id, Ending, float, Load | None),
+    "counted": (int | None, int),
     "heard": (int, bytes),
     "woke": (),
 }
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -33,6 +33,20 @@
     return value
 
 
+def _members(value: list[str]) -> list[str]:
+    if not value:
+        raise ValueError("at least one HOST:PORT is needed")
+    if len(set(value)) < len(value):
+        raise ValueError("a member stands there twice")
+    return [_address(member) for member in value]
+
+
+def _prefix(value: str) -> str:
+    if not value.startswith("/") or not value.endswith("/"):
+        raise ValueError("a prefix begins and ends with /")
+    return value
+
+
 Words = Annotated[list[str], BeforeValidator(_split)]
 Figures = Annotated[list[Rate], BeforeValidator(_split), AfterValidator(_rising)]
 
@@ -110,8 +124,27 @@
     window: Annotated[float, Field(gt=0, le=3600)]
 
 
+class Etcd(Part):
+    """Where the list of streamers comes from etcd. `silent`: a watch that says nothing is made anew."""
+
+    endpoints: Annotated[Words, AfterValidator(_members)]
+    prefix: Annotated[str, AfterValidator(_prefix)] = "/herongap/"
+    user: str = ""
+    password_file: str = ""
+    connect: Annotated[float, Field(gt=0, le=60)] = 0.5
+    time_out: Annotated[float, Field(gt=0, le=60)] = 2.0
+    silent: Annotated[float, Field(gt=0, le=3600)] = 15.0
+    ttl: Annotated[float, Field(ge=2, le=3600)] = 6.0
+    remembered: str = ""
+    keep: Annotated[float, Field(gt=0, le=3600)] = 1.0
+
+    def secret(self) -> str:
+        """The password, read anew each time, so that it can be changed while the front runs."""
+        return Path(self.password_file).read_text(encoding="utf-8").strip()
+
+
 class Streamers(Part):
-    list: str
+    list: str = ""
     whep: str = "/whep/{title}?layer={rung}"
     whip: str = "/whip/{title}?layer={rung}"
     look: Annotated[float, Field(gt=0, le=60)] = 0.2
@@ -153,11 +186,13 @@
     "cold": Cold,
     "budget": Budget,
     "streamers": Streamers,
+    "etcd": Etcd,
     "catalogue": CatalogueFile,
     "limits": Limits,
 }
 NAMED = {"package": PackageTerms, "token": Token}
-OPTIONAL = {"front", "tune_ins", "cold", "budget", "limits"}
+OPTIONAL = {"front", "tune_ins", "cold", "budget", "limits", "streamers", "etcd"}
+NO_DEFAULT = {"budget", "etcd"}  # absent where it is not in the file
 
 
 class Faults(ValueError):
@@ -174,6 +209,7 @@
     defaults: dict[str, str]
     tokens: dict[str, Token]
     streamers: Streamers
+    etcd: Etcd | None
     catalogue: CatalogueFile
     connect: float
     bounds: Bounds
@@ -215,7 +251,7 @@
     for section, model in ONCE.items():
         if section not in parts and section not in OPTIONAL:
             faults.append(f"[{section}]: missing; needed keys: {', '.join(_needed(model))}")
-        elif section not in parts and section != "budget":
+        elif section not in parts and section not in NO_DEFAULT:
             parts[section] = model()
     if not places and "places" not in parser:
         # The pace of set-ups to streamers that may be cold goes by them.
@@ -272,6 +308,10 @@
             )
         if p.join_target > p.patience:
             faults.append(f"[package {name}] join_target = {p.join_target}: must not exceed patience")
+    if bool(parts["streamers"].list) == ("etcd" in parts):
+        faults.append("[streamers] list, or [etcd]: the list of streamers comes from one of them")
+    if "etcd" in parts and bool(parts["etcd"].user) != bool(parts["etcd"].password_file):
+        faults.append("[etcd] user and password_file: both are needed, or neither")
     for protocol in ("whep", "whip"):
         several = [n for n, p in named["package"].items() if p.protocol == protocol and p.default]
         if len(several) > 1:
@@ -284,6 +324,11 @@
                 faults.append(f"[token {name}] packages: no [package {package}] in this file")
 
 
+def _beside(part: Part, near: Path, *keys: str) -> Part:
+    """Paths taken from the file's folder."""
+    return part.model_copy(update={k: str(near / value) for k in keys if (value := getattr(part, k))})
+
+
 def _site(path: Path, parts: dict, named: dict, places: dict[str, int]) -> Site:
     front, ladder, links = parts["front"], parts["ladder"], parts["links"]
     tune_ins, cold, budget = parts["tune_ins"], parts["cold"], parts.get("budget")
@@ -346,7 +391,8 @@
         protocols={name: p.protocol for name, p in named["package"].items()},
         defaults=defaults,
         tokens=named["token"],
-        streamers=parts["streamers"].model_copy(update={"list": str(near / parts["streamers"].list)}),
+        streamers=_beside(parts["streamers"], near, "list"),
+        etcd=_beside(parts["etcd"], near, "password_file", "remembered") if "etcd" in parts else None,
         catalogue=parts["catalogue"].model_copy(update={"file": str(near / parts["catalogue"].file)}),
         connect=tune_ins.connect,
         bounds=Bounds(**parts["limits"].model_dump()),
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -263,6 +263,11 @@
     def heard(self, now: float, peer: int, words: bytes) -> None:
         """Controllers tell each other nothing yet: what they ask of links was tried and helped too little."""
 
+    def counted(self, now: float, me: int | None, controllers: int) -> None:
+        """How many controllers live and which of them this is, None while others may not reckon with it."""
+        self.me, self.controllers, self.look = me, controllers, True
+        self.ahead = AHEAD * (1 - 1 / controllers)
+
     def woke(self, now: float) -> None:
         # Rounding can ring a hair before the due time; a spent alarm must not pass for one still set.
         self.wake = -1e9
@@ -407,6 +412,8 @@
             # A controller that was away, or whose list is late, is not told of every start, and would send
             # all it has to the one that is empty: what it has not heard of for so long takes one a slot.
             return now - st.since >= self.warm_up or slot != st.slot
+        if self.me is None:
+            return False
         # No more share a slot than viewings share a streamer: among hundreds, each would wait for minutes.
         # Those that wait for room all meet at the streamer that has just started.
         much = len(self.viewings) + RUSH * len(self.waiting)
--- /dev/null
+++ b/tests/test_etcd.py
@@ -0,0 +1,485 @@
+"""etcd: messages, the follower, the schema, leases, and the whole way with the stand-in on loopback."""
+
+import json
+import time
+from contextlib import contextmanager, suppress
+
+import gevent
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from minicheck import check_liveness, check_safety
+
+from herongap.daemon.etcd import Feed
+from herongap.daemon.remembered import Remembered
+from herongap.etcd import Change, Directory, Endpoints, Follower, Frames, Item, Membership, Need, Step, Told
+from herongap.etcd import messages as m
+from herongap.etcd.keys import Bad, changed_value, read_value, split
+from herongap.fleet import worlds
+from herongap.ini.site import Etcd as Terms
+from herongap.interface import Standing
+from herongap.standins.etcd import Etcd, History, fill, put
+
+PREFIX = "/herongap/"
+HEAD = m.Header(7, 1, 10)
+
+
+def kv(key, mod, create=None, value=b"{}"):
+    return m.KeyValue(key.encode(), value, create or mod, mod)
+
+
+def head(revision, cluster=7):
+    return m.Header(cluster, 1, revision)
+
+
+def event(key, mod, kind="PUT", **more):
+    return m.Event(kv(key, mod, **more), kind)
+
+
+def following(*kvs, revision=10):
+    f = Follower()
+    assert f.paged(m.Range(head(revision), list(kvs))) is Told.TAKEN
+    turn, start = f.watch_from()
+    assert start == revision + 1 and f.watched(turn, m.Watch(head(revision), created=True)) is Told.TAKEN
+    f.changes()
+    return f, turn
+
+
+# Messages.
+
+
+def test_a_message_is_read_as_the_gateway_writes_it():
+    line = (
+        b'{"result":{"header":{"cluster_id":"14841639068965178418","revision":"42","raft_term":"2"},'
+        b'"events":[{"kv":{"key":"L2E=","create_revision":"5","mod_revision":"42","version":"3","value":"eA=="}},'
+        b'{"type":"DELETE","kv":{"key":"L2I=","mod_revision":"42"}}]}}'
+    )
+    told = m.read_line(line, m.Watch)
+    assert told.header.cluster_id == 14841639068965178418 and told.header.revision == 42
+    put_, gone = told.events
+    assert (put_.kv.key, put_.kv.value, put_.kv.create_revision, put_.type) == (b"/a", b"x", 5, "PUT")
+    assert (gone.kv.key, gone.kv.mod_revision, gone.type) == (b"/b", 42, "DELETE")
+
+
+@pytest.mark.parametrize(
+    "line, code",
+    [
+        (
+            b'{"error":{"grpc_code":11,"http_code":400,"message":"required revision has been compacted"}}',
+            11,
+        ),
+        (b'{"error":{"code":16,"message":"etcdserver: invalid auth token"}}', 16),
+    ],
+)
+def test_a_refusal_in_a_stream_is_told_with_its_code(line, code):
+    with pytest.raises(m.Refused) as refused:
+        m.read_line(line, m.Watch)
+    assert refused.value.code == code and refused.value.compacted == (code == 11)
+
+
+@given(st.binary(max_size=300))
+def test_no_bytes_break_the_parsers_in_another_way_than_they_say(data):
+    for read in (
+        lambda d: m.read_line(d, m.Watch),
+        lambda d: m.read(d, m.Range),
+        lambda d: m.read(d, m.Lease),
+    ):
+        with suppress(m.Garbled, m.Refused):
+            read(data)
+    for kind in ("streamers", "drains", "controllers"):
+        with suppress(Bad):
+            read_value(kind, data)
+
+
+@given(st.lists(st.binary(max_size=20).map(lambda b: b.replace(b"\n", b"")), max_size=8), st.data())
+def test_lines_come_whole_however_the_stream_is_cut(lines, data):
+    stream, frames, got = b"".join(line + b"\n" for line in lines), Frames(), []
+    while stream:
+        cut = data.draw(st.integers(1, len(stream)))
+        got += frames.feed(stream[:cut])
+        stream = stream[cut:]
+    assert got == [line for line in lines if line.strip()]
+
+
+def test_a_line_without_end_is_refused_not_kept(monkeypatch):
+    monkeypatch.setattr(m, "FRAME", 100)
+    frames = Frames()
+    frames.feed(b"x" * 90)
+    with pytest.raises(m.Garbled):
+        frames.feed(b"x" * 20)
+
+
+# The follower.
+
+
+def test_a_resync_tells_what_vanished_drained_and_was_replaced_while_away():
+    f, turn = following(kv("a", 5), kv("b", 6), kv("c", 7))
+    f.broke(turn)
+    turn, start = f.watch_from()
+    assert start == 11
+    f.watched(turn, m.Watch(head(30), created=True))
+    assert f.watched(turn, m.Watch(head(30), canceled=True, compact_revision=25)) is Told.COMPACTED
+    assert f.need is Need.READ
+    f.paged(m.Range(head(30), [kv("a", 5), kv("b", 22, create=22), kv("d", 29)]))
+    told = {change.key: change for change in f.changes()}
+    assert told.keys() == {"b", "c", "d"}
+    assert told["b"].replaced and told["c"].new is None and told["d"].old is None
+
+
+def test_an_empty_range_of_a_member_that_is_behind_is_not_believed():
+    f, turn = following(kv("a", 5))
+    f.watched(turn, m.Watch(head(40)))  # progress: another member has shown 40
+    f.broke(turn)
+    f.need = Need.READ
+    assert f.paged(m.Range(head(39), [])) is Told.BEHIND and "a" in f.items
+    assert f.paged(m.Range(head(40), [])) is Told.TAKEN and not f.items
+
+
+def test_fragments_count_when_whole_and_duplicates_never():
+    f, turn = following()
+    assert f.watched(turn, m.Watch(head(11), events=[event("a", 11)], fragment=True)) is Told.PART
+    assert not f.items and f.revision == 10
+    f.broke(turn)
+    turn, start = f.watch_from()
+    assert start == 11, "what came in part comes again"
+    f.watched(turn, m.Watch(head(10), created=True))
+    both = m.Watch(head(12), events=[event("a", 11), event("b", 12), event("a", 12, "DELETE")])
+    assert f.watched(turn, both) is Told.TAKEN and f.items.keys() == {"b"} and f.revision == 12
+    assert f.watched(turn, both) is Told.OLD and f.counts["old"] == 3
+    assert f.watched(turn - 1, m.Watch(head(50), events=[event("z", 50)])) is Told.OLD and f.revision == 12
+
+
+def test_another_clusters_word_is_taken_only_when_every_member_gives_it():
+    f, turn = following(kv("a", 5))
+    assert f.watched(turn, m.Watch(head(99, cluster=8), events=[event("a", 99, "DELETE")])) is Told.FOREIGN
+    assert "a" in f.items and not f.watching
+    ends = Endpoints(["x:1", "y:1"], 1)
+    said = [ends.foreign(0.0, member, 8) for member in ("x:1", "x:1", "x:1", "y:1", "y:1")]
+    assert said == [False, False, False, False, True]
+    f.adopt(8)
+    f.paged(m.Range(head(3, cluster=8), [kv("a", 2)]))
+    assert f.revision == 3 and not f.changes(), "the same value in a restored cluster is no change"
+
+
+def test_a_read_in_pages_is_of_one_revision_and_begins_again_when_it_breaks():
+    f = Follower()
+    assert f.paged(m.Range(head(10), [kv("a", 5)], more=True)) is Told.PART
+    assert f.read_from() == ("a", 10)
+    f.unread()
+    assert f.read_from() == ("", 0) and not f.items
+    f.paged(m.Range(head(10), [kv("a", 5)], more=True))
+    assert f.paged(m.Range(head(12), [kv("b", 6)])) is Told.TAKEN
+    assert f.revision == 10 and f.watch_from()[1] == 11, (
+        "the second page's member had moved on, the read had not"
+    )
+
+
+# Over all interleavings.
+
+
+def test_the_follower_is_true_and_never_older_in_every_interleaving():
+    world = worlds.following(2)
+    found = check_safety(world)
+    assert found["exhaustive"] and found["reachable_states"] > 10000
+    assert all(p["holds"] is True for p in found["properties"].values()), found
+    assert check_liveness(world)["holds"] is True, "from every state the follower can still catch up"
+
+
+def test_two_controllers_never_trust_one_number():
+    found = check_safety(worlds.leasing())
+    assert found["exhaustive"] and found["reachable_states"] > 10000
+    assert all(p["holds"] is True for p in found["properties"].values()), found
+
+
+@pytest.mark.parametrize("mistake", worlds.MISTAKES)
+def test_a_mistake_is_found_with_the_way_to_it(mistake):
+    found = check_safety(worlds.broken(mistake, 2))["properties"]
+    ways = [p["counterexample"] for p in found.values() if p["holds"] is False]
+    assert ways and all(len(way) > 2 for way in ways)
+
+
+# The schema and the directory.
+
+
+def streamer(**more):
+    return json.dumps({"v": 1, "url": "http://127.0.0.1:9"} | more).encode()
+
+
+def change(key, value, old=None, create=1, mod=1):
+    return Change(PREFIX + key, old, value and Item(value, create, mod))
+
+
+def test_bad_values_are_refused_one_by_one_and_the_last_good_one_stays():
+    d = Directory(PREFIX, 0.0)
+    good = change("streamers/a", streamer(zone="z"))
+    assert d.take(1.0, [good, change("streamers/b", b"{"), change("streamers/c", streamer(url="x"))]) == {"a"}
+    assert set(d.bad) == {PREFIX + "streamers/b", PREFIX + "streamers/c"}
+    worse = Change(good.key, good.new, Item(b"[]", 1, 2))
+    d.take(2.0, [worse])
+    assert d.line("a").zone == "z" and good.key in d.bad
+    d.take(3.0, [Change(good.key, worse.new, Item(streamer(zone="y"), 1, 3))])
+    assert d.line("a").zone == "y" and good.key not in d.bad
+    d.take(4.0, [Change(good.key, None, Item(b"[]", 9, 9))])
+    assert d.line("a").standing is Standing.LEFT, "a bad value of a new process says nothing of the old one"
+
+
+def test_a_drain_counts_whatever_its_value_and_outlives_a_new_put():
+    d = Directory(PREFIX, 0.0)
+    d.take(1.0, [change("streamers/a", streamer()), change("drains/a", b"garbage")])
+    assert d.line("a").standing is Standing.LEAVING and PREFIX + "drains/a" in d.bad
+    d.take(2.0, [change("streamers/a", streamer(zone="n"), old=Item(streamer(), 1, 1), mod=2)])
+    assert d.line("a").standing is Standing.LEAVING
+    d.take(3.0, [change("drains/a", None, old=Item(b"garbage", 1, 1))])
+    assert d.line("a").standing is Standing.ACTIVE
+
+
+def test_who_came_while_it_was_watched_or_was_replaced_is_cold():
+    d = Directory(PREFIX, 100.0)
+    d.take(
+        5.0, [change("streamers/a", streamer()), change("streamers/b", streamer(started=-40.0))], first=True
+    )
+    assert d.line("a").started is None and d.line("b").started == 60.0
+    d.take(6.0, [change("streamers/c", streamer())])
+    assert d.line("c").started == 6.0
+    d.take(7.0, [Change(PREFIX + "streamers/a", Item(streamer(), 1, 1), Item(streamer(), 9, 9))])
+    assert d.line("a").started == 7.0
+
+
+def test_keys_of_others_are_passed_over_and_unknown_fields_kept():
+    assert split(PREFIX, "/other/streamers/a") is None and split(PREFIX, PREFIX + "colours/a") is None
+    assert split(PREFIX, PREFIX + "streamers/a/b") == ("streamers", "a/b")
+    assert json.loads(changed_value(b'{"v": 1, "rack": "r", "new": [1]}', rack="q")) == {
+        "v": 1, "rack": "q", "new": [1]
+    }  # fmt: skip
+    with pytest.raises(Bad):
+        read_value("streamers", b'{"v": 2, "url": "http://a:1"}')
+
+
+# Leases.
+
+
+def test_a_lease_is_trusted_from_when_it_was_asked_for_and_a_rank_waits():
+    c = Membership(3, 9, 6.0)
+    assert c.step(0.0) is Step.GRANT and c.place(0.0, None) == (None, 9)
+    c.granted(0.0, 77, 6.0)
+    assert c.step(4.0) is Step.CLAIM
+    c.claim_answered(4.5, 4.0, True)
+    assert c.holds(4.5) and c.place(4.5, [3, 1]) == (None, 2), "others may not know of it yet"
+    assert c.place(5.4, [3, 1]) == (None, 2) and not c.holds(5.5)
+    c.kept(5.0, 6.0)
+    assert c.place(6.0, [3, 1, 8]) == (1, 3)
+    assert c.step(20.0) is Step.GRANT and c.place(20.0, [1, 3]) == (None, 2), "paused past its lease"
+
+
+def test_a_lost_claim_is_tried_again_and_a_dead_lease_given_up():
+    c = Membership(0, 2, 6.0)
+    c.granted(0.0, 5, 6.0)
+    c.claim_answered(0.1, 0.0, False)
+    assert c.taken and not c.holds(0.2) and c.step(0.2) is None and c.step(0.6) is Step.CLAIM
+    c.claim_answered(0.7, 0.6, True)
+    c.kept(2.0, 0.0)
+    assert not c.holds(2.1) and c.step(9.0) is Step.GRANT
+
+
+# The whole way.
+
+
+class Watcher:
+    """A feed on a stand-in, and what it told."""
+
+    def __init__(self, etcd, **terms):
+        self.told, self.places = [], []
+        quick = dict(endpoints=",".join(etcd.addresses), time_out=0.4, silent=2.0, ttl=2.0, keep=0.02)
+        told = lambda *told: self.told.append(told), lambda *place: self.places.append(place)  # noqa: E731
+        self.feed = Feed(Terms(**(quick | terms)), 0, 2, 1, "herongap-0-1", time.monotonic, *told)
+        self.running = self.feed.start()
+
+    def standing(self, name):
+        d = self.feed.directory
+        return d.line(name).standing if name in d.streamers else None
+
+    def close(self):
+        gevent.killall(self.running)
+        self.feed.close()
+
+
+@contextmanager
+def cluster(members=1):
+    etcd = Etcd(members, time.monotonic)
+    fill(etcd.history, PREFIX, {f"s{i}": {"url": f"http://127.0.0.1:{9000 + i}"} for i in range(3)})
+    try:
+        yield etcd
+    finally:
+        etcd.close()
+
+
+def until(true, seconds=8.0):
+    end = time.monotonic() + seconds
+    while not true():
+        assert time.monotonic() < end, "it never came"
+        gevent.sleep(0.002)
+
+
+def drain(etcd, name):
+    put(etcd.history, f"{PREFIX}drains/{name}", v=1)
+
+
+def test_a_feed_reads_watches_and_claims_its_number():
+    with cluster() as etcd:
+        w = Watcher(etcd)
+        until(lambda: w.feed.state == "following")
+        assert w.told[0][0] == "whole" and len(w.told[0][1]) == 3
+        drain(etcd, "s1")
+        until(lambda: w.standing("s1") is Standing.LEAVING, 0.25)
+        until(lambda: w.places and w.places[-1] == (0, 1))
+        assert w.feed.told()["controllers"] == {"0": "herongap-0-1"}
+        w.close()
+        until(lambda: not any(b"controllers" in key for key in etcd.history.now_at), 1.0)
+
+
+def test_a_cut_at_any_byte_and_a_compaction_lose_nothing():
+    with cluster() as etcd:
+        w = Watcher(etcd)
+        until(lambda: w.feed.state == "following")
+        for cut in range(1, 1200, 97):
+            etcd.members[0].cut_after = cut
+            etcd.cut()
+            drain(etcd, f"s{cut % 3}")
+            put(etcd.history, f"{PREFIX}streamers/n{cut}", v=1, url="http://127.0.0.1:1")
+            if cut % 2:
+                etcd.history.compact()
+            gevent.sleep(0.02)
+            etcd.history.delete(f"{PREFIX}drains/s{cut % 3}".encode())
+        etcd.members[0].cut_after = 0
+        etcd.cut()
+        until(lambda: w.feed.follower.revision == etcd.history.revision)
+        assert w.feed.directory.streamers.keys() == {"s0", "s1", "s2", *(f"n{i}" for i in range(1, 1200, 97))}
+        assert not w.feed.directory.drains and w.feed.follower.counts["compacted"] > 0
+        w.close()
+
+
+def test_a_drain_in_the_middle_of_a_reconnect_and_one_that_leaves_within_one():
+    with cluster() as etcd:
+        w = Watcher(etcd)
+        until(lambda: w.feed.state == "following")
+        etcd.members[0].stop()
+        drain(etcd, "s0")
+        drain(etcd, "s1")
+        etcd.history.delete(f"{PREFIX}streamers/s1".encode(), f"{PREFIX}drains/s1".encode())
+        etcd.history.compact()
+        until(lambda: w.feed.state == "lost")
+        assert w.standing("s0") is Standing.ACTIVE, "it cannot know yet"
+        etcd.members[0].start()
+        until(lambda: w.standing("s0") is Standing.LEAVING)
+        assert w.standing("s1") is None
+        w.close()
+
+
+def test_a_deploy_that_replaces_all_while_the_watch_is_down_leaves_all_cold():
+    with cluster() as etcd:
+        w = Watcher(etcd)
+        until(lambda: w.feed.state == "following")
+        etcd.members[0].stop()
+        for i in range(3):
+            etcd.history.delete(f"{PREFIX}streamers/s{i}".encode())
+            put(etcd.history, f"{PREFIX}streamers/s{i}", v=1, url=f"http://127.0.0.1:{9500 + i}")
+        etcd.history.compact()
+        etcd.members[0].start()
+        until(lambda: w.feed.state == "following")
+        lines = w.told[-1][1]
+        assert all(line.started is not None for line in lines) and len(lines) == 3
+        assert w.told[-1][2]["s0"] == ("127.0.0.1", 9500)
+        w.close()
+
+
+def test_a_stale_member_and_one_of_another_cluster_are_not_believed():
+    with cluster(3) as etcd:
+        w = Watcher(etcd)
+        until(lambda: w.feed.state == "following")
+        drain(etcd, "s0")
+        until(lambda: w.standing("s0") is Standing.LEAVING)
+        for member in etcd.members[:1]:
+            member.stuck = 2
+        etcd.members[1].cluster = 0xBAD
+        for _ in range(6):
+            etcd.cut()
+            gevent.sleep(0.03)
+        drain(etcd, "s2")
+        until(lambda: w.standing("s2") is Standing.LEAVING)
+        assert w.standing("s0") is Standing.LEAVING and w.feed.follower.cluster == etcd.history.cluster
+        w.close()
+
+
+def test_a_list_is_remembered_and_bad_stores_are_put_aside(tmp_path):
+    with cluster() as etcd:
+        w = Watcher(etcd, remembered=str(tmp_path / "list"))
+        until(lambda: w.feed.state == "following")
+        drain(etcd, "s1")
+        until(lambda: w.standing("s1") is Standing.LEAVING)
+        w.close()
+        etcd.members[0].stop()
+        w = Watcher(etcd, remembered=str(tmp_path / "list"))
+        assert w.feed.state == "remembered" and w.told[0][0] == "remembered"
+        assert w.standing("s1") is Standing.LEAVING and len(w.told[0][1]) == 3
+        etcd.members[0].start()
+        until(lambda: w.feed.state == "following")
+        w.close()
+    store = Remembered(str(tmp_path / "list"))
+    store._open()
+    with store.env.begin(write=True) as txn:
+        data = bytes(txn.get(b"list"))
+        txn.put(b"list", data[:-7])
+    store.close()
+    assert Remembered(str(tmp_path / "list")).load() is None and (tmp_path / "list.bad-0").exists()
+    store = Remembered(str(tmp_path / "list"))
+    store._open()
+    with store.env.begin(write=True) as txn:
+        txn.put(b"list", b"0 " + data.split(b" ", 1)[1])
+    store.close()
+    assert store.load() is None and (tmp_path / "list.bad-1").exists()
+    (tmp_path / "list").mkdir()
+    (tmp_path / "list" / "data.mdb").write_bytes(b"no store" * 1000)
+    store = Remembered(str(tmp_path / "list"))
+    assert store.load() is None and (tmp_path / "list.bad-2").exists()
+    assert store.save(1, 2, {"a": Item(b"x", 1, 1)}) and store.load() == (1, 2, {"a": Item(b"x", 1, 1)})
+    store.close()
+
+
+def test_a_token_that_expires_is_made_anew(tmp_path):
+    with cluster() as etcd:
+        etcd.users["front"] = "secret-word"
+        (tmp_path / "password").write_text("secret-word\n")
+        w = Watcher(etcd, user="front", password_file=str(tmp_path / "password"))
+        until(lambda: w.feed.state == "following")
+        etcd.tokens.clear()
+        etcd.cut()
+        drain(etcd, "s0")
+        until(lambda: w.standing("s0") is Standing.LEAVING)
+        w.close()
+
+
+def test_two_claims_of_one_number_leave_one_without_a_place():
+    with cluster() as etcd:
+        one, two = Watcher(etcd), Watcher(etcd)
+        until(lambda: any(w.places and w.places[-1][0] == 0 for w in (one, two)))
+        gevent.sleep(0.3)
+        held = [w.feed.membership.holds(time.monotonic()) for w in (one, two)]
+        assert sorted(held) == [False, True]
+        first, second = (one, two) if held[0] else (two, one)
+        first.close()
+        until(lambda: second.places[-1] == (0, 1))
+        second.close()
+
+
+def test_the_stand_in_expires_leases_with_all_their_keys_in_one_revision():
+    h = History()
+    lease = h.grant(0.0, 2.0)
+    h.put(b"/a", b"1", lease)
+    h.put(b"/b", b"2", lease)
+    assert h.keep(1.5, lease) == 2.0
+    h.expire(3.4)
+    assert len(h.now_at) == 2
+    before = h.revision
+    h.expire(3.5)
+    assert not h.now_at and h.revision == before + 1 and h.keep(3.6, lease) == 0.0
+    assert [k for k, _ in h.at(before, b"/", b"0")] == [b"/a", b"/b"], "history still shows them"
