Rehearsals with the list over etcd; the address is told once signals are heard

Rule 3 there counts from when the bytes that tell a front of a drain are sent to it. The model can count controllers live (counted = live): the dead count until their leases have run out.

A front said where it listens before it heard signals; one that came at once ended it in the wrong way (seen as a test that failed on a loaded machine).

--- a/herongap/cli/serve.py
+++ b/herongap/cli/serve.py
@@ -1,7 +1,6 @@
 """`serve`, `check` and `demo`: running a front."""
 
 import json
-import sys
 import tempfile
 from pathlib import Path
 
@@ -36,8 +35,6 @@
         daemon.start()
     except (OSError, ValueError) as fault:
         raise click.ClickException(f"cannot start: {fault}") from fault
-    click.echo("listening http://{}:{}".format(*daemon.address))
-    sys.stdout.flush()
     until_signal(daemon)
 
 
@@ -132,7 +129,5 @@
             daemon.start()
         except OSError as fault:
             raise click.ClickException(f"cannot start: {fault}") from fault
-        click.echo("listening http://{}:{}".format(*daemon.address))
-        sys.stdout.flush()
         until_signal(daemon)
         farm.close()
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -173,7 +173,10 @@
 
 
 def until_signal(daemon: Daemon) -> None:
-    """Run a daemon until SIGTERM or SIGINT; a second one ends the process at once."""
+    """Announce a daemon's address on standard output and run it until SIGTERM or SIGINT.
+
+    A second signal ends the process at once.
+    """
     signals = []
 
     def stop() -> None:
@@ -184,4 +187,6 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop)
+    # Said only now: whoever reads it may send a signal at once.
+    print("listening http://{}:{}".format(*daemon.address), flush=True)
     daemon.stopped.wait()
--- a/herongap/fleet/checker.py
+++ b/herongap/fleet/checker.py
@@ -77,6 +77,10 @@
         self.rungs: dict[str, list[tuple[float, str, int]]] = defaultdict(list)
         self.fell: list[tuple[float, str, dict]] = []
         self.gone: list[tuple[float, set[str]]] = []
+        self.listed_by = "file"
+        # What an etcd has: (time, streamer, no new work to it), and whom it told so: (time, front, ...).
+        self.drained: list[tuple[float, str, bool]] = []
+        self.told: list[tuple[float, str, str, bool]] = []
         self.fronts: dict[int, int] = {}
         self.killed: dict[int, float] = {}
         self.muted: dict[str, list[float]] = defaultdict(list)
@@ -96,6 +100,10 @@
                 self.lines[identity].append((round(at - self.began, 4), who, what, d))
             if who == "stage":
                 self._stage(at, what, d)
+            elif who == "etcd" and what == "drain":
+                self.drained.append((at, d["streamer"], d["drained"]))
+            elif who == "etcd" and what == "told":
+                self.told.append((at, d["front"], d["streamer"], d["drained"]))
             elif what == "wants":
                 wants[who] = d["package"]
             elif what == "asked":
@@ -139,6 +147,7 @@
             self.killed[port] = at
         elif what == "listed":
             self.gone.append((at, set(d["gone"])))
+            self.listed_by = d.get("by", "file")
         elif what == "stopping":
             self.stopping = at
 
@@ -243,6 +252,9 @@
 
 def drains(run: Run) -> Iterator[Break]:
     """Rule 3: nothing new to a streamer later than the grace after it was listed as draining or gone."""
+    if run.listed_by == "etcd":
+        yield from _drains_told(run)
+        return
     since: dict[str, float] = {}
     changes = iter([*run.gone, (float("inf"), set())])
     at, gone = next(changes)
@@ -258,6 +270,33 @@
             yield run.broken(3, out.begin, what, identity)
 
 
+def _drains_told(run: Run) -> Iterator[Break]:
+    """Where the list is watched, the grace begins when the bytes that tell a front of it are sent to it."""
+    outs = [(o.begin, 1, i, o) for i, outs in run.outs.items() for o in outs]
+    words = [(at, 0, "", (None, streamer, gone)) for at, streamer, gone in run.drained]
+    words += [(at, 0, "", (front, streamer, gone)) for at, front, streamer, gone in run.told]
+    since: dict[tuple[str, str], float] = {}
+    held: dict[str, set] = defaultdict(set)  # what stands against a streamer in truth
+    for at, kind, identity, it in sorted(outs + words, key=lambda line: line[:3]):
+        if kind == 0:
+            front, streamer, gone = it
+            if front is not None and gone and held[streamer]:
+                since.setdefault((front, streamer), at)
+            elif front is None and gone:
+                held[streamer].add(at)
+            elif front is None:
+                # Its drain, or its absence, has ended: what anybody was told before binds nobody any more.
+                held[streamer].clear()
+                since = {key: told for key, told in since.items() if key[1] != streamer}
+            continue
+        told = since.get((it.front, it.streamer))
+        if told is not None and at > told + GRACE + SLACK:
+            what = (
+                f"sent to {it.streamer} {at - told:.3f} s after its front was told that it leaves or is gone"
+            )
+            yield run.broken(3, at, what, identity)
+
+
 def cold(run: Run) -> Iterator[Break]:
     """Rule 4: no streamer that has just started is pushed over."""
     for at, streamer, d in run.fell:
--- a/herongap/fleet/day.py
+++ b/herongap/fleet/day.py
@@ -17,6 +17,7 @@
 KINDS = (
     "die", "silent", "hang", "fail", "slow", "lose", "late", "sag", "ageing", "cut", "deploy", "drain",
     "list_late", "crowd", "burst", "controllers", "empty_list", "notes_lost",
+    "watch_cut", "etcd_down",
 )  # fmt: skip
 
 
@@ -37,6 +38,9 @@
     popularity: Annotated[float, Field(ge=0, le=3)] = 0.8
     length: Above = 6.0
     list_late: Seconds = 0.5
+    list_by: Literal["file", "etcd"] = "file"
+    counted: Literal["fixed", "live"] = "fixed"
+    ttl: Annotated[float, Field(ge=2)] = 6.0
     rates: Figures = [150.0, 400.0, 900.0, 1800.0]
     values: Figures = [0.3, 0.55, 0.8, 1.0]
     small_screens: Share = 0.2
@@ -333,6 +337,12 @@
             ]
         case "empty_list":
             return [told(t.at, "none", streamers), told(end, "back", streamers)]
+        case "watch_cut":
+            # Every `extra` seconds all watches break; `size` above 1: what they missed is compacted away too.
+            cuts = [t.at + i * max(0.05, t.extra) for i in range(int(t.lasts / max(0.05, t.extra)))]
+            return [Order(at, "etcd", {"do": "cut", "compact": t.size > 1}) for at in cuts]
+        case "etcd_down":
+            return [Order(t.at, "etcd", {"do": "stop"}), Order(end, "etcd", {"do": "start"})]
         case "controllers":
             lost = draw.sample(range(day.size.controllers), max(1, round(t.part * day.size.controllers)))
             return [
@@ -377,9 +387,12 @@
     }
 
 
-def front_ini(day: Day, number: int, seed: int, folder: Path) -> str:
-    """The INI file of one controller of a day."""
+def front_ini(day: Day, number: int, seed: int, folder: Path, members: list[str] | None = None) -> str:
+    """The INI file of one controller of a day; `members` are those of an etcd that has the list."""
     s, m = day.size, day.machines
+    listed = f"[streamers]\nlist = streamers.json\nlook = {LOOK}"
+    if members:
+        listed = f"[etcd]\nendpoints = {', '.join(members)}\nttl = {s.ttl}\nremembered = list-{number}"
     lines = [
         "[front]", "listen = 127.0.0.1:0", f"number = {number}", f"controllers = {s.controllers}",
         f"zone = z{number % s.zones}", f"seed = {seed * 1000 + number}", "log_level = info",
@@ -392,7 +405,7 @@
         "[cold]", f"warm_up = {m.warm_up}", f"start = {m.cold_start}", f"fall_multiple = {m.fall_multiple}",
         "[places]", f"std = {m.places}",
         "[budget]", f"free = {s.extra_free}", f"share = {s.extra_share}", f"window = {s.extra_window}",
-        "[streamers]", "list = streamers.json", f"look = {LOOK}", "[catalogue]", "file = catalogue.json",
+        listed, "[catalogue]", "file = catalogue.json",
     ]  # fmt: skip
     for name, package in day.packages.items():
         lines.append(f"[package {name}]")
--- a/herongap/fleet/model.py
+++ b/herongap/fleet/model.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from herongap.etcd.membership import SETTLE
 from herongap.fleet import day as days
 from herongap.fleet.clock import Clock, stream
 from herongap.fleet.day import LOOK, Arrival, Day, Listing, Order, Script
@@ -48,7 +49,7 @@
         model.boots += 1
         # As a restarted front is another one to streamers.
         self.name, self.port = f"herongap-{number}-{model.boots}", model.boots
-        self.up, self.armed = True, 0
+        self.up, self.armed, self.began = True, 0, model.clock.now
         self.clients: dict[Id, Viewer] = {}
         self.outs: dict[tuple[Id, int], Out] = {}
         self.plays: dict[tuple[Id, int], Session] = {}
@@ -492,6 +493,7 @@
         self.late = day.size.list_late
         self.listing = Listing(list(self.machines))
         self.racked = {f"s{i}": days.rack_of(i, day) for i in range(day.size.streamers)}
+        self.killed: dict[int, float] = {}
         self.held_most = self.held_sum = self.ticks = 0
 
     def log(self, who: str, what: str, **details) -> None:
@@ -545,6 +547,8 @@
             for name in order.what["on"]:
                 self.log(name, "order", **{k: v for k, v in order.what.items() if k != "on"})
                 self.machines[name].order(order.what)
+        elif order.to == "etcd":
+            raise ValueError("a trouble of etcd is for rehearsals: the model has no etcd")
         elif order.to == "list_late":
             self.late = order.what["by"]
         elif order.to == "list":
@@ -576,6 +580,9 @@
         front = self.fronts[number]
         self.log("stage", "killed", front=number)
         self.fronts[number], front.up = None, False
+        if self.day.size.counted == "live":
+            self.killed[number] = self.clock.now
+            self.clock.after(self.day.size.ttl, self._recount)
         for client in list(front.clients.values()):
             if not client.stopped and client.began == 0.0:
                 client._answer(0, "broken")
@@ -584,6 +591,16 @@
         for (viewing, number_), out in list(front.outs.items()):
             self.machines[out.streamer].hung_up(front, viewing, number_)
 
+    def _recount(self) -> None:
+        """Controllers know each other through leases: the dead count until theirs have run out."""
+        now, ttl = self.clock.now, self.day.size.ttl
+        live = [n for n, up in self.fronts.items() if up or now < self.killed.get(n, -1e9) + ttl]
+        for rank, number in enumerate(sorted(live)):
+            front = self.fronts[number]
+            if front:
+                settled = now >= front.began + SETTLE
+                front.host.counted(now, rank if settled else None, len(live))
+
     def _front_gone(self, front: Front) -> None:
         self.names.pop(front.name, None)
         for machine in self.machines.values():
@@ -598,6 +615,9 @@
         self.fronts[number] = self.names[front.name] = front
         self.log("stage", "front", number=number, address=["", front.port])
         self._list_to(front)
+        if self.day.size.counted == "live":
+            self._recount()
+            self.clock.after(SETTLE, self._recount)
 
 
 def _site(day: Day, number: int, seed: int) -> Site:
--- a/herongap/rehearsal/controller.py
+++ b/herongap/rehearsal/controller.py
@@ -16,7 +16,6 @@
     observe.set_up(site.front.log_level, site.front.log_format, site.front.log_to)
     daemon = Daemon(site, POLICIES[policy])
     daemon.start()
-    print("listening http://{}:{}".format(*daemon.address), flush=True)
     until_signal(daemon)
 
 
--- a/herongap/rehearsal/stage.py
+++ b/herongap/rehearsal/stage.py
@@ -29,10 +29,12 @@
     zone_of,
 )
 from herongap.fleet.figures import Outcome
+from herongap.standins.etcd import Etcd, fill, put
 from herongap.standins.farm import Log
 from herongap.standins.viewer import Viewer
 
 COME_AGAIN = (0.3, 1.2)
+PREFIX = "/herongap/"
 
 
 class Actors:
@@ -103,6 +105,7 @@
         self.late = day.size.list_late
         self.listing = Listing([f"s{i}" for i in range(day.size.streamers)])
         self.places: dict[str, dict] = {}
+        self.etcd: Etcd | None = None
         self.fronts: dict[int, Address | None] = {}
         self.log_file = open(folder / "clients.jsonl", "w", encoding="utf-8")  # noqa: SIM115
         self.log = Log(self.log_file.write)
@@ -117,7 +120,12 @@
                     "rack": rack_of(i, self.day),
                 }  # fmt: skip
             (self.folder / "catalogue.json").write_text(json.dumps({"titles": self.script.titles}))
-            self._write_list()
+            if self.day.size.list_by == "etcd":
+                self.etcd = Etcd(3, time.monotonic, self.log)
+                fill(self.etcd.history, PREFIX, {name: self._value(name) for name in self.places})
+                self._log_list()
+            else:
+                self._write_list()
             for number in range(self.day.size.controllers):
                 self._start_front(number)
             self.began = time.monotonic()
@@ -130,6 +138,8 @@
         finally:
             self.log("stage", "stopping")
             self.actors.stop()
+            if self.etcd:
+                self.etcd.close()
             self.log_file.close()
         return Outcome(self.day, self.script, self.began, read_logs(self.folder))
 
@@ -152,6 +162,8 @@
         elif order.to == "list":
             now = time.monotonic()
             gevent.spawn_later(self.late, self._relist, order.what, now)
+        elif order.to == "etcd":
+            self._trouble_etcd(order.what)
         elif order.what["do"] == "kill":
             for number in order.what["on"]:
                 self.log("stage", "killed", front=number)
@@ -163,7 +175,53 @@
 
     def _relist(self, what: dict, at: float) -> None:
         self.listing.change(what, at + self.wall)
-        self._write_list()
+        if self.etcd:
+            self._put_list(what)
+        else:
+            self._write_list()
+
+    def _value(self, name: str) -> dict:
+        started = self.listing.started[name]
+        told = {key: self.places[name][key] for key in ("url", "zone", "rack")}
+        return told | ({} if started is None else {"started": started})
+
+    def _put_list(self, what: dict) -> None:
+        """What the streamers and their operators put and delete."""
+        history = self.etcd.history
+        for name in what["on"]:
+            streamer, drain = f"{PREFIX}streamers/{name}", f"{PREFIX}drains/{name}"
+            match what["standing"]:
+                case "started":
+                    # A new process: its key is made anew, and the drain of the old one ends.
+                    history.delete(streamer.encode(), drain.encode())
+                    put(history, streamer, v=1, **self._value(name))
+                case "leaving":
+                    put(history, drain, v=1, by="rehearsal")
+                case "active":
+                    history.delete(drain.encode())
+                case "left" | "none":
+                    history.delete(streamer.encode())
+                case "back":
+                    put(history, streamer, v=1, **self._value(name))
+        self._log_list()
+
+    def _trouble_etcd(self, what: dict) -> None:
+        if self.etcd is None:
+            raise ValueError("a trouble of etcd needs list_by = etcd")
+        match what["do"]:
+            case "cut":
+                if what["compact"]:
+                    self.etcd.history.compact()
+                self.etcd.cut()
+            case "stop":
+                for member in self.etcd.members:
+                    member.stop()
+            case "start":
+                for member in self.etcd.members:
+                    member.start()
+
+    def _log_list(self) -> None:
+        self.log("stage", "listed", gone=self.listing.gone(), by=self.day.size.list_by)
 
     def _write_list(self) -> None:
         shown = self.listing.shown()
@@ -171,11 +229,12 @@
         new = self.folder / "streamers.json.new"
         new.write_text(json.dumps({"streamers": lines}))
         os.replace(new, self.folder / "streamers.json")
-        self.log("stage", "listed", gone=self.listing.gone())
+        self._log_list()
 
     def _start_front(self, number: int) -> None:
         file = self.folder / f"controller-{number}.ini"
-        file.write_text(front_ini(self.day, number, self.seed, self.folder))
+        members = self.etcd.addresses if self.etcd else None
+        file.write_text(front_ini(self.day, number, self.seed, self.folder, members))
         self.fronts[number] = self.actors.start_front(number, file)
         self.log("stage", "front", number=number, address=list(self.fronts[number]))
 
--- a/herongap/standins/etcd.py
+++ b/herongap/standins/etcd.py
@@ -128,7 +128,8 @@
 class Etcd:
     """A cluster of members on loopback.
 
-    `log(who, what, **details)` gets a line for each drain that is told to a peer, with the peer's User-Agent.
+    `log(who, what, **details)` gets a line for each drain, and for each time that a peer is told of it, with
+    its User-Agent.
     """
 
     def __init__(self, members: int, clock: Callable[[], float], log: Callable = lambda *_, **__: None):
@@ -143,8 +144,8 @@
         return ["{}:{}".format(*member.address) for member in self.members]
 
     def _noted(self, key: bytes, value: dict | None) -> None:
-        if name := drained(key):
-            self.log("etcd", "drain", streamer=name, drained=value is not None)
+        if said := standing(key, value is not None):
+            self.log("etcd", "drain", streamer=said[0], drained=said[1])
 
     def _expire(self) -> None:
         while True:
@@ -391,10 +392,12 @@
                 )
 
 
-def drained(key: bytes) -> str:
-    """The streamer that a drain's key names, "" for another key."""
-    parts = key.split(b"/")
-    return parts[-1].decode() if len(parts) > 2 and parts[-2] == b"drains" else ""
+def standing(key: bytes, there: bool) -> tuple[str, bool] | None:
+    """What a key says of a streamer: its name, and whether no new work may go to it."""
+    *_, kind, name = [b"", b"", *key.split(b"/")]
+    if kind not in (b"drains", b"streamers"):
+        return None
+    return name.decode(), there == (kind == b"drains")
 
 
 def fill(history: History, prefix: str, streamers: dict[str, dict]) -> None:
