--- a/herongap/standins/etcd.py
+++ b/herongap/standins/etcd.py
@@ -326,13 +326,14 @@
         self.streams.add(mark)
         try:
             for message, told in self._messages(create, mark):
-                self._told(who, told)
                 data = json.dumps({"result": message}).encode() + b"\n"
                 if self.cut_after and sent + len(data) > self.cut_after:
                     yield data[: max(1, self.cut_after - sent)]
                     raise ConnectionResetError("cut")
                 sent += len(data)
                 yield data
+                # Only now has the last byte of it been handed to the network: what is cut short tells nothing.
+                self._told(who, told)
             raise ConnectionResetError("cut")
         finally:
             self.streams.discard(mark)
