--- a/herongap/fleet/checker.py
+++ b/herongap/fleet/checker.py
@@ -358,8 +358,9 @@
         sent.sort()
         asked = sorted(taken[int(front.split("-")[1])])
         for i, (at, identity) in enumerate(sent):
-            window = sum(1 for t, _ in sent[: i + 1] if t > at - size.extra_window)
-            took = sum(1 for t in asked if at - size.extra_window < t <= at)
+            # A front sees both a little earlier or later than the sockets' other ends.
+            window = sum(1 for t, _ in sent[: i + 1] if t > at - size.extra_window + SLACK)
+            took = sum(1 for t in asked if at - size.extra_window - SLACK < t <= at + SLACK)
             if window > size.extra_free + size.extra_share * took:
                 what = f"{front}: {window} further tune-ins in {size.extra_window:g} s, having taken {took}"
                 yield run.broken(6, at, what, identity)
--- a/herongap/standins/etcd.py
+++ b/herongap/standins/etcd.py
@@ -332,7 +332,7 @@
                     raise ConnectionResetError("cut")
                 sent += len(data)
                 yield data
-                # Only now has the last byte of it been handed to the network: what is cut short tells nothing.
+                # Only now has its last byte been handed to the network: what is cut short tells nothing.
                 self._told(who, told)
             raise ConnectionResetError("cut")
         finally:
