--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -14,6 +14,7 @@
 from herongap.etcd.keys import changed_value
 from herongap.ini.site import Etcd
 
+DOUBT = 0.1  # seconds between two looks at whether the lease still holds; MARGIN covers it
 PAGE = 1000  # keys of one page of a read
 NETWORK = (OSError, Hung, h11.RemoteProtocolError, Refused, m.Garbled)
 log = structlog.get_logger()
@@ -122,7 +123,7 @@
             self.from_store = True
             self._publish("remembered", first=True)
             log.warning("list remembered", streamers=len(self.directory.streamers), revision=kept[1])
-        runs = (self.follow, self._live, *((self._keep,) if self.store else ()))
+        runs = (self.follow, self._live, self._doubt, *((self._keep,) if self.store else ()))
         return [gevent.spawn(run) for run in runs]
 
     # The list.
@@ -237,7 +238,7 @@
     # Controllers.
 
     def _live(self) -> None:
-        """Hold the lease and the number; told again whenever the place has changed, by time alone too."""
+        """Hold the lease and the number."""
         while True:
             now = self.clock()
             step = self.membership.step(now)
@@ -249,9 +250,14 @@
                     log.warning("lease not kept", step=step.value, cause=repr(fault))
                     if isinstance(fault, Refused) and fault.code == 5:
                         self.membership.lapsed()
-            self._reckon()
             gevent.sleep(min(0.2, max(0.01, self.membership.due - self.clock())))
 
+    def _doubt(self) -> None:
+        """The place changes by time alone too, also while a request hangs that would renew the lease."""
+        while True:
+            self._reckon()
+            gevent.sleep(DOUBT)
+
     def _ask(self, step: Step, now: float) -> None:
         address = self.endpoints.choose(now)
         match step:
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -54,7 +54,7 @@
         self.front: Front | None = None
         self.server: Server | None = None
         self.metrics: Server | None = None
-        self._figures = Figures(self.host, self.intake)
+        self._figures = Figures(self.host, self.intake, self.feed)
         self._greenlets: list = []
         self.stopped = Event()
 
--- a/herongap/observe/metrics.py
+++ b/herongap/observe/metrics.py
@@ -10,10 +10,12 @@
 
 
 class Figures:
-    """Reads a host's and an intake's own books; `host` and `intake` are those of a daemon."""
+    """Reads a host's and an intake's own books; `host`, `intake` and `feed` (None without etcd) are those of
+    a daemon.
+    """
 
-    def __init__(self, host, intake):
-        self.host, self.intake = host, intake
+    def __init__(self, host, intake, feed=None):
+        self.host, self.intake, self.feed = host, intake, feed
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -53,3 +55,23 @@
         for standing, count in sorted(listed.items()):
             streamers.add_metric([standing], count)
         yield streamers
+        if self.feed:
+            yield from self._followed(self.feed.told())
+
+    def _followed(self, told: dict) -> Iterator:
+        state = GaugeMetricFamily("herongap_list_state", "1 for the follower's state", labels=["state"])
+        state.add_metric([told["state"]], 1)
+        yield state
+        yield GaugeMetricFamily("herongap_list_revision", "Where the list stands", value=told["revision"])
+        age = float("nan") if told["age"] is None else told["age"]
+        yield GaugeMetricFamily("herongap_list_age_seconds", "Since it was last confirmed", value=age)
+        yield GaugeMetricFamily("herongap_list_bad", "Keys with a refused value", value=len(told["bad"]))
+        seen = CounterMetricFamily("herongap_list_followed", "What the follower met", labels=["what"])
+        for what, count in told["counts"].items():
+            seen.add_metric([what], count)
+        yield seen
+        rank, live = told["place"] or (None, 0)
+        yield GaugeMetricFamily("herongap_controllers_live", "Controllers known to live", value=live)
+        yield GaugeMetricFamily(
+            "herongap_has_rank", "1 where this one has a place among them", value=rank is not None
+        )
--- a/herongap/standins/etcd.py
+++ b/herongap/standins/etcd.py
@@ -342,7 +342,7 @@
         history = self.etcd.history
         first, end = _bytes(create["key"]), _bytes(create.get("range_end", ""))
         after = int(create.get("start_revision", 0)) or self.revision() + 1
-        whole = not create.get("fragment")
+        whole, filters = not create.get("fragment"), create.get("filters", ())
         yield {"header": self.header(), "created": True}, []
         noted = self.etcd.clock()
         while mark in self.streams:
@@ -358,7 +358,10 @@
             if until >= after:
                 if self.hold:
                     gevent.sleep(self.hold)
-                events = [e for e in history.since(after, until) if _inside(e[1], first, end)]
+                events = [
+                    e for e in history.since(after, until)
+                    if _inside(e[1], first, end) and ("NOPUT" if e[2] else "NODELETE") not in filters
+                ]  # fmt: skip
                 after = until + 1
                 for _ in range(2 if self.repeat else 1):
                     yield from self._parts(events, whole)
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -477,6 +477,38 @@
         second.close()
 
 
+def test_a_keep_alive_that_races_the_end_of_its_lease_leaves_no_doubt_who_holds_the_number():
+    with cluster() as etcd:
+        w = Watcher(etcd, time_out=5.0)
+        until(lambda: w.places and w.places[-1] == (0, 1))
+        etcd.members[0].slow = 2.6  # longer than the lease: the answer says that it is gone
+        until(lambda: w.places[-1][0] is None)
+        assert not w.feed.membership.holds(time.monotonic())
+        assert any(b"controllers" in key for key in etcd.history.now_at), "given up here before it ends there"
+        until(lambda: not any(b"controllers" in key for key in etcd.history.now_at))
+        etcd.members[0].slow = 0.0
+        until(lambda: w.places[-1] == (0, 1))
+        w.close()
+
+
+def test_the_stand_in_filters_watches():
+    with cluster() as etcd:
+        member = etcd.members[0]
+        mark = object()
+        member.streams.add(mark)
+        asked = {"key": "L2hlcm9uZ2FwLw==", "range_end": "L2hlcm9uZ2FwMA==", "start_revision": "2"}
+        etcd.history.delete(f"{PREFIX}streamers/s0".encode())
+        for filters, kinds in (
+            (["NOPUT"], ["DELETE"]),
+            (["NODELETE"], ["PUT", "PUT", "PUT"]),
+            ([], ["PUT"] * 3 + ["DELETE"]),
+        ):
+            messages = member._messages({**asked, "filters": filters}, mark)
+            next(messages)
+            told, _ = next(messages)
+            assert [e.get("type", "PUT") for e in told["events"]] == kinds
+
+
 def test_the_stand_in_expires_leases_with_all_their_keys_in_one_revision():
     h = History()
     lease = h.grant(0.0, 2.0)
@@ -563,6 +595,8 @@
         told = json.loads(Pool(daemon.metrics.address, 1.0).call("GET", "/list", (), b"", 2.0).body)
         assert told["source"]["state"] == "following" and len(told["streamers"]) == 3
         assert told["source"]["place"] == [0, 1]
+        scraped = Pool(daemon.metrics.address, 1.0).call("GET", "/metrics", (), b"", 2.0).body.decode()
+        assert 'herongap_list_state{state="following"} 1.0' in scraped and "herongap_has_rank 1.0" in scraped
         daemon.kill()
         etcd.members[0].stop()
         daemon = Daemon(read_site(file))
