A change of one key tells its own address alone, not the whole list's

Each change built the addresses of every streamer: from a change to its being known took 4.5 ms (p50) with 2,000 keys, and an event cost 330 us of CPU.

Only the touched streamers' addresses are told.

--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -232,7 +232,8 @@
         touched = self.directory.take(self.clock(), changes, first)
         lines = self.directory.lines(touched) if kind == "changes" else self.directory.whole()
         if touched or kind != "changes":
-            self.listed(kind, lines, self.directory.addresses())
+            # Addresses of what has changed alone: a list of thousands changes a thousand times a second.
+            self.listed(kind, lines, self.directory.addresses(line.streamer for line in lines))
         self._reckon()
 
     # Controllers.
--- a/herongap/etcd/directory.py
+++ b/herongap/etcd/directory.py
@@ -126,5 +126,6 @@
         self._gone.clear()
         return self.lines(self.streamers)
 
-    def addresses(self) -> dict[str, tuple[str, int]]:
-        return {name: value.address for name, value in self.streamers.items()}
+    def addresses(self, names: Iterable[str]) -> dict[str, tuple[str, int]]:
+        """Where some streamers are reached, those that are listed."""
+        return {name: self.streamers[name].address for name in names if name in self.streamers}
