--- a/herongap/cli/__init__.py
+++ b/herongap/cli/__init__.py
@@ -2,7 +2,7 @@
 
 import click
 
-from herongap.cli import experiment, lists, records, rehearse, serve
+from herongap.cli import experiment, lists, records, rehearse, serve, token
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -21,6 +21,7 @@
     rehearse.rehearse,
     experiment.experiment,
     lists.lists,
+    token.token,
     records.replay,
     records.explain,
 ):
--- /dev/null
+++ b/herongap/dash/ring.py
@@ -0,0 +1,66 @@
+"""Which key signs, which are published, and when a new one is made or an old one dropped. Decides without
+I/O.
+
+A key goes through three times. For `ahead` seconds it is published and signs nothing, so that every streamer
+has fetched it before the first token comes. Then it signs until its successor does. Then it is published for
+as long as the longest token that it can have signed lasts, and for what clocks may differ by; then it is
+dropped.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+SKEW = 2.0  # seconds by which the clocks of fronts and streamers may differ
+
+
+class Key(NamedTuple):
+    """A key by its id, and when it was made, in seconds since the epoch."""
+
+    kid: str
+    made: float
+
+
+class Ring:
+    """The keys of one signer.
+
+    `rotate` is how long a key signs, `ahead` how long it is published before that, `longest` the life of a
+    token; all in seconds.
+    """
+
+    def __init__(self, keys: Iterable[Key], rotate: float, ahead: float, longest: float):
+        if not 0 < ahead < rotate:
+            raise ValueError("a key must be published before it signs, for less than it signs")
+        self.keys = sorted(keys, key=lambda key: (key.made, key.kid))
+        self.rotate, self.ahead, self.longest = rotate, ahead, longest
+
+    def due(self, now: float) -> bool:
+        """Whether a new key is to be made: there is none, or the newest will soon have signed for long
+        enough.
+        """
+        return not self.keys or now >= self.keys[-1].made + self.rotate
+
+    def add(self, key: Key) -> None:
+        self.keys.append(key)
+        self.keys.sort(key=lambda key: (key.made, key.kid))
+
+    def signing(self, now: float) -> Key | None:
+        """The newest key that has been published for long enough; the oldest where none has, as at first
+        start.
+        """
+        ready = [key for key in self.keys if key.made + self.ahead <= now]
+        return ready[-1] if ready else self.keys[0] if self.keys else None
+
+    def published(self, now: float) -> list[Key]:
+        """The keys that streamers are to know."""
+        return [key for i, key in enumerate(self.keys) if now < self._ends(i)]
+
+    def dead(self, now: float) -> list[Key]:
+        """Keys that no token in force can have been signed by; they are forgotten here, and to be deleted."""
+        over = [key for i, key in enumerate(self.keys) if now >= self._ends(i)]
+        self.keys = [key for key in self.keys if key not in over]
+        return over
+
+    def _ends(self, i: int) -> float:
+        if i + 1 == len(self.keys):
+            return float("inf")
+        return self.keys[i + 1].made + self.ahead + self.longest + 2 * SKEW
--- /dev/null
+++ b/herongap/dash/tokens.py
@@ -0,0 +1,154 @@
+"""Session tokens: JWT (RFC 7519) signed with Ed25519 (RFC 8037, RFC 9864), keys as a JWK set (RFC 7517).
+
+A token says that one viewing may fetch one title from one streamer, on rungs between a floor and a top, for a
+time. A streamer checks it with the published keys and asks nobody. What it does not promise: that only one
+player uses it. A token that is copied is good elsewhere until it ends or its viewing does at that streamer.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from joserfc import jwt
+from joserfc.errors import JoseError
+from joserfc.jwk import KeySet, OKPKey
+
+from herongap.dash.ring import SKEW
+
+ALGORITHM = "Ed25519"
+TYPE = "herongap-session+jwt"  # RFC 8725, 3.11: a token made for anything else must not pass for one of these
+ISSUER = "herongap"
+MOST = 2048  # characters of a token that is looked at
+
+
+class Grant(NamedTuple):
+    """What a token allows. Rungs from `floor` to `top`, both with; times in seconds since the epoch."""
+
+    viewing: str
+    title: str
+    package: str
+    member: str
+    floor: int
+    top: int
+    streamer: str
+    begins: float
+    ends: float
+
+
+class Refusal(Exception):
+    """Why a token is not taken: `kind` is one of KINDS."""
+
+    KINDS = ("malformed", "forged", "unknown-key", "early", "expired", "elsewhere", "title")
+
+    def __init__(self, kind: str, kid: str = ""):
+        super().__init__(kind)
+        self.kind, self.kid = kind, kid
+
+
+def new_key(kid: str) -> OKPKey:
+    return OKPKey.generate_key("Ed25519", {"kid": kid, "use": "sig", "alg": ALGORITHM}, private=True)
+
+
+def published(keys: list[OKPKey]) -> dict:
+    """A JWK set of the public halves."""
+    return {"keys": [key.as_dict(private=False) for key in keys]}
+
+
+def mint(key: OKPKey, grant: Grant) -> str:
+    """A token. Times are whole seconds in it, rounded so that it never lasts longer than granted."""
+    claims = {
+        "iss": ISSUER, "aud": grant.streamer, "sub": grant.viewing, "title": grant.title,
+        "package": grant.package, "member": grant.member, "rungs": [grant.floor, grant.top],
+        "nbf": int(grant.begins), "exp": int(grant.ends),
+    }  # fmt: skip
+    return jwt.encode({"alg": ALGORITHM, "kid": key.kid, "typ": TYPE}, claims, key, algorithms=[ALGORITHM])
+
+
+class Checker:
+    """What one streamer checks tokens by. Those it has checked lately are not verified again: a player brings
+    the same one with each segment.
+    """
+
+    KEPT = 4096
+
+    def __init__(self, streamer: str, jwks: dict):
+        self.streamer = streamer
+        self.checked: OrderedDict[str, Grant] = OrderedDict()
+        self.learn(jwks)
+
+    def learn(self, jwks: dict) -> None:
+        """Take a newly published set; raises ValueError, and keeps the old one, if it cannot be used.
+
+        Keys of other kinds are passed over. What was checked with keys that are gone is checked anew.
+        """
+        try:
+            usable = [
+                k for k in jwks["keys"] if (k.get("kty"), k.get("crv")) == ("OKP", "Ed25519") and k.get("kid")
+            ]
+            # Only what RFC 8037 needs is taken over: no word in the set changes how a token is checked.
+            keys = [OKPKey.import_key({p: k[p] for p in ("kty", "crv", "x", "kid")}) for k in usable]
+        except (JoseError, KeyError, TypeError, AttributeError, ValueError) as fault:
+            raise ValueError(f"not a JWK set: {fault!r}") from fault
+        self.kids = {key.kid for key in keys}
+        self.keys = KeySet(keys) if keys else None
+        self.checked.clear()
+
+    def check(self, now: float, token: str, title: str) -> Grant:
+        """What the token allows here; raises Refusal. `now` is in seconds since the epoch."""
+        grant = self.checked.get(token)
+        if grant is None:
+            grant = self._verify(token)
+            self.checked[token] = grant
+            if len(self.checked) > self.KEPT:
+                self.checked.popitem(last=False)
+        if now >= grant.ends + SKEW:
+            self.checked.pop(token, None)
+            raise Refusal("expired")
+        if now < grant.begins - SKEW:
+            raise Refusal("early")
+        if grant.streamer != self.streamer:
+            raise Refusal("elsewhere")
+        if grant.title != title:
+            raise Refusal("title")
+        return grant
+
+    def _verify(self, token: str) -> Grant:
+        if len(token) > MOST or not token.isascii():
+            raise Refusal("malformed")
+        kid = _header(token)
+        if self.keys is None or kid not in self.kids:
+            raise Refusal("unknown-key", kid)
+        try:
+            # One algorithm, whatever the header says: no way in for "none" and mistaken keys (RFC 8725, 3.1).
+            found = jwt.decode(token, self.keys, algorithms=[ALGORITHM])
+        except (JoseError, ValueError) as fault:
+            raise Refusal("forged") from fault
+        return _grant(found.claims)
+
+
+def _header(token: str) -> str:
+    """The key that a token names; raises Refusal unless its header is one of ours."""
+    from joserfc.jws import extract_compact
+
+    try:
+        header = extract_compact(token.encode()).headers()
+    except (JoseError, ValueError, TypeError, AttributeError) as fault:
+        raise Refusal("malformed") from fault
+    if header.get("alg") != ALGORITHM or header.get("typ") != TYPE or not isinstance(header.get("kid"), str):
+        raise Refusal("malformed")
+    return header["kid"]
+
+
+def _grant(claims: dict) -> Grant:
+    try:
+        floor, top = claims["rungs"]
+        grant = Grant(
+            claims["sub"], claims["title"], claims["package"], claims["member"], floor, top,
+            claims["aud"], float(claims["nbf"]), float(claims["exp"]),
+        )  # fmt: skip
+        texts = (grant.viewing, grant.title, grant.package, grant.member, grant.streamer)
+        whole = all(isinstance(rung, int) and rung >= 0 for rung in (floor, top)) and floor <= top
+        if claims["iss"] != ISSUER or not whole or not all(isinstance(text, str) for text in texts):
+            raise Refusal("malformed")
+    except (KeyError, TypeError, ValueError) as fault:
+        raise Refusal("malformed") from fault
+    return grant
