The DASH front: manifests with tokens on the same core, streamers that check them, players

Browsers and set-top players fetch segments over HTTP; they need a manifest for one viewing at the streamer and under the rung that the module chose.

daemon/door.py is what all fronts share (who asks, repeats, intake, the one answer); WHIP and WHEP keep their tests unchanged on it. daemon/dash.py serves /dash/TITLE, /manifests/SECRET and the key set: a line has one viewing at a time, whatever tabs and retries ask; a viewing that ended is followed by a new one at the next manifest. Stand-in streamers serve paced segments and check tokens offline; stand-in players with buffer, throughput rule and CMCD.

--- /dev/null
+++ b/herongap/daemon/door.py
@@ -0,0 +1,187 @@
+"""What all fronts of one controller share: who asks, whether it is a viewing known already, its one answer.
+
+A front reads its protocol's request into a `Wish`; the door takes it to the host once, however often it
+comes, and gives the session that plays or the reply that refuses.
+"""
+
+import hmac
+import math
+import secrets
+import time
+from collections.abc import Callable, Collection
+from itertools import count
+from typing import NamedTuple
+
+import gevent
+import structlog
+
+from herongap.daemon.session import Session
+from herongap.daemon.streamers import Streamers
+from herongap.daemon.wire import Hung, Peer
+from herongap.host import Again, Host, Repeats
+from herongap.http import Reply, Request, bearer, problem
+from herongap.ini import Catalogue, Site
+from herongap.intake import Intake
+from herongap.interface import Asked, Ending
+
+log = structlog.get_logger()
+
+
+class Wish(NamedTuple):
+    """What a front asks the door for. `key` is what makes two wishes one viewing, `digest` what must then be
+    equal in both; `offer` of `media_type` is what the streamer is sent. Patience in seconds.
+    """
+
+    protocol: str
+    title: str
+    package: str
+    owner: str | None
+    holders: Collection[str]
+    key: tuple
+    digest: str
+    viewer: str
+    media_type: str
+    offer: bytes
+    patience: float
+    top: str = ""
+
+
+class Door:
+    """The shared part of all fronts. `host` and `port` are one controller's; `intake` bounds what the process
+    takes on.
+    """
+
+    def __init__(self, site: Site, host: Host, port: Streamers, intake: Intake, catalogue: Catalogue,
+                 clock=time.monotonic):  # fmt: skip
+        self.site, self.host, self.port, self.intake = site, host, port, intake
+        self.catalogue, self.clock = catalogue, clock
+        self.repeats = Repeats(site.front.remember, 100_000)
+        self.packages = {p.name: p for p in site.charter.packages}
+        self.setting_up = 0
+        self.over: list[Callable[[Session], None]] = []
+        self._ids = count(1)
+        port.on_over = self._over
+
+    # Who asks, and for what.
+
+    def caller(self, request: Request) -> str | None | Reply:
+        """The name of the caller's token, None where tokens are not used, or the refusal."""
+        if not self.site.tokens:
+            return None
+        challenge = [("WWW-Authenticate", 'Bearer realm="herongap"')]
+        given = bearer(request)
+        if given is None:
+            return problem("no-credentials", headers=challenge)
+        found = None
+        for name, token in self.site.tokens.items():
+            # All are compared, each in constant time: how long it takes must not tell how much was right.
+            if hmac.compare_digest(token.secret.encode(), given.encode("utf-8", "replace")):
+                found = name
+        if found is None:
+            challenge = [("WWW-Authenticate", 'Bearer realm="herongap", error="invalid_token"')]
+            return problem("bad-credentials", headers=challenge)
+        return found
+
+    def _package(self, protocol: str, request: Request, owner: str | None) -> str | Reply:
+        name = request.query.get("package") or self.site.defaults.get(protocol)
+        if name not in self.packages or self.site.protocols[name] != protocol:
+            return problem("not-allowed", f"no package {name!r} for {protocol}")
+        if owner and (allowed := self.site.tokens[owner].packages) and name not in allowed:
+            return problem("not-allowed", f"this token does not cover package {name!r}")
+        return name
+
+    def knock(self, protocol: str, title: str, request: Request) -> tuple | Reply:
+        """The owner, the package and the holders of a request for a title, or the reply that refuses it."""
+        if isinstance(owner := self.caller(request), Reply):
+            return owner
+        if isinstance(package := self._package(protocol, request, owner), Reply):
+            return package
+        if (holders := self.catalogue.holders(title)) is None:
+            return problem("no-such-title", f"no title {title!r}")
+        return owner, package, holders
+
+    # Viewings.
+
+    def enter(self, wish: Wish, peer: Peer) -> Session | Reply:
+        """The session of a wish, which plays, or the reply that says why there is none; blocks until then."""
+        now = self.clock()
+        again, viewing = self.repeats.seen(now, wish.key, wish.digest)
+        if again is Again.JOIN:
+            log.info("repeated", viewing=viewing)
+            return self._await(self.port.sessions[viewing], peer)
+        if again is Again.OVER:
+            return problem("session-over")
+        if again is Again.CLASH:
+            return problem("key-reused")
+        if refusal := self.intake.admit(now, peer.name, self.setting_up, len(self.port.sessions)):
+            kind, come_back = refusal
+            return problem(kind, headers=[("Retry-After", str(math.ceil(come_back)))] if come_back else ())
+        return self._await(self._take(wish, peer), peer)
+
+    def _take(self, wish: Wish, peer: Peer) -> Session:
+        p = self.packages[wish.package]
+        viewing = f"v{self.site.front.number}-{next(self._ids)}"
+        session = Session(
+            viewing,
+            secrets.token_urlsafe(18),
+            wish.protocol,
+            wish.title,
+            wish.media_type,
+            wish.offer,
+            wish.owner,
+        )
+        self.port.sessions[viewing] = session
+        self.repeats.take(wish.key, wish.digest, viewing)
+        ask = Asked(
+            viewing=viewing,
+            viewer=wish.viewer,
+            package=wish.package,
+            member=(self.site.tokens[wish.owner].member or None) if wish.owner else None,
+            title=wish.title,
+            holders=frozenset(wish.holders),
+            top=min(p.top, int(wish.top)) if wish.top.isdigit() else p.top,
+            left=max(0.0, wish.patience - self.site.front.answer_ahead),
+            length=None,
+            moved=False,
+            again=False,
+        )
+        log.debug("asked", viewing=viewing, package=wish.package, title=wish.title, peer=peer.name)
+        self.setting_up += 1
+        session.done.rawlink(lambda _: self._set_up())
+        self.host.asked(self.clock(), ask)
+        return session
+
+    def _set_up(self) -> None:
+        self.setting_up -= 1
+
+    def _await(self, session: Session, peer: Peer) -> Session | Reply:
+        session.waiting += 1
+        try:
+            # The host answers by the patience of the viewing; this is only against a fault there.
+            if not session.done.is_set() and not peer.wait(session.done, 660.0):
+                raise Hung
+        finally:
+            session.waiting -= 1
+            if not session.waiting and peer.gone:
+                # Its viewer may be on its way back with the same offer, which then must not be set up twice.
+                gevent.spawn_later(self.site.front.linger, self._abandon, session)
+        answer = session.answer
+        if answer.verdict == "plays":
+            return session
+        if answer.verdict == "gone":
+            raise Hung
+        if answer.cause is Ending.NOT_SENT:
+            return problem("offer-refused")
+        if answer.verdict == "blocked":
+            wait = [("Retry-After", str(math.ceil(answer.come_back)))] if answer.come_back else []
+            return problem("blocked", headers=wait, come_back=answer.come_back)
+        return problem("aborted", cause=answer.cause.name.lower() if answer.cause else "none")
+
+    def _abandon(self, session: Session) -> None:
+        if not session.waiting:
+            self.host.left(self.clock(), session.viewing)
+
+    def _over(self, session: Session, played: bool) -> None:
+        self.repeats.drop(self.clock(), session.viewing, played)
+        for told in self.over:
+            told(session)
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -10,6 +10,8 @@
 import structlog
 from gevent.event import Event
 
+from herongap.daemon.dash import Dash
+from herongap.daemon.door import Door
 from herongap.daemon.etcd import Feed
 from herongap.daemon.feed import Watched, epoch
 from herongap.daemon.front import Front
@@ -36,7 +38,7 @@
         # own.
         self.name = f"herongap-{site.front.number}-{time.time_ns() // 1_000_000}"
         self.intake = Intake(site.bounds)
-        targets = {"whep": site.streamers.whep, "whip": site.streamers.whip}
+        targets = {name: getattr(site.streamers, name) for name in ("whep", "whip", "dash")}
         self.port = Streamers(self.name, site.connect, targets, clock)
         self.record = self._open_record()
         recorder = Recorder(self.record.write) if self.record else None
@@ -51,6 +53,7 @@
             told = self._fed, self._counted
             self.feed = Feed(site.etcd, f.number, f.controllers, f.seed, self.name, clock, *told)
         self.titles = Watched(site.catalogue.file, self._catalogued, 1.0)
+        self.door: Door | None = None
         self.front: Front | None = None
         self.server: Server | None = None
         self.metrics: Server | None = None
@@ -68,7 +71,11 @@
         if self.list:
             self.list.read()
         site = self.site
-        self.front = Front(site, self.host, self.port, self.intake, self.catalogue, self.clock)
+        self.door = Door(site, self.host, self.port, self.intake, self.catalogue, self.clock)
+        dash = Dash(site.dash, self.door) if site.dash else None
+        if dash:
+            dash.load()
+        self.front = Front(self.door, dash)
         host, _, port = site.front.listen.rpartition(":")
         self.server = Server(listen((host, int(port))), self.front.handle, site.bounds, self.intake)
         if site.front.metrics:
@@ -135,8 +142,8 @@
 
     def _catalogued(self, data: bytes) -> None:
         self.catalogue = read_catalogue(data)
-        if self.front:
-            self.front.catalogue = self.catalogue
+        if self.door:
+            self.door.catalogue = self.catalogue
 
     def listing(self) -> dict:
         """The whole list as this controller sees it: each streamer's standing, and where the list is from."""
--- a/herongap/daemon/session.py
+++ b/herongap/daemon/session.py
@@ -58,6 +58,7 @@
     secret: str
     protocol: str
     title: str
+    media_type: str
     offer: bytes
     owner: str | None
     done: Event = field(default_factory=Event)
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -14,7 +14,7 @@
 from herongap.daemon.session import Remote, Session, read_remote
 from herongap.daemon.wire import Address, Call, Pool
 from herongap.host import Answer, Host
-from herongap.http import SDP, Reply
+from herongap.http import Reply
 from herongap.interface import Asked, Ending, Load
 from herongap.orca import HEADER, read_load
 from herongap.whep import write_layer
@@ -145,7 +145,11 @@
             call.send(
                 "POST",
                 target,
-                [*self._headers(), ("Content-Type", SDP), ("Idempotency-Key", f'"{self.name}/{viewing}"')],
+                [
+                    *self._headers(),
+                    ("Content-Type", session.media_type),
+                    ("Idempotency-Key", f'"{self.name}/{viewing}"'),
+                ],
                 session.offer,
             )
             how = Ending.BROKEN
--- a/herongap/ini/files.py
+++ b/herongap/ini/files.py
@@ -31,9 +31,13 @@
 
 
 class Catalogue(msgspec.Struct, forbid_unknown_fields=True):
-    """Which streamers hold a title; the title "*" stands for all that are not named."""
+    """Which streamers hold a title; the title "*" stands for all that are not named.
+
+    `lengths` are the seconds of recorded titles, for manifests; a title without one is live.
+    """
 
     titles: dict[str, list[str]]
+    lengths: dict[str, Annotated[float, msgspec.Meta(gt=0)]] = {}
 
     def holders(self, title: str) -> Collection[str] | None:
         """The streamers that hold a title, None if it is unknown."""
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -81,7 +81,7 @@
 
 
 class PackageTerms(Part):
-    protocol: Literal["whep", "whip"] = "whep"
+    protocol: Literal["whep", "whip", "dash"] = "whep"
     default: bool = False
     join_target: Annotated[float, Field(gt=0, le=600)]
     patience: Annotated[float, Field(gt=0, le=600)]
@@ -143,10 +143,25 @@
         return Path(self.password_file).read_text(encoding="utf-8").strip()
 
 
+class DashPart(Part):
+    """The DASH front. `token` is how long a session token lasts, `update` when a player should ask again,
+    `url` how players reach this front where the Host header does not tell.
+    """
+
+    keys: str
+    url: str = ""
+    segment: Annotated[float, Field(gt=0, le=30)] = 2.0
+    update: Annotated[float, Field(ge=0.2, le=600)] = 2.0
+    token: Annotated[float, Field(ge=2, le=86400)] = 60.0
+    rotate: Annotated[float, Field(gt=0)] = 86400.0
+    ahead: Annotated[float, Field(gt=0)] = 300.0
+
+
 class Streamers(Part):
     list: str = ""
     whep: str = "/whep/{title}?layer={rung}"
     whip: str = "/whip/{title}?layer={rung}"
+    dash: str = "/dash/{title}?layer={rung}"
     look: Annotated[float, Field(gt=0, le=60)] = 0.2
 
 
@@ -187,12 +202,13 @@
     "budget": Budget,
     "streamers": Streamers,
     "etcd": Etcd,
+    "dash": DashPart,
     "catalogue": CatalogueFile,
     "limits": Limits,
 }
 NAMED = {"package": PackageTerms, "token": Token}
-OPTIONAL = {"front", "tune_ins", "cold", "budget", "limits", "streamers", "etcd"}
-NO_DEFAULT = {"budget", "etcd"}  # absent where it is not in the file
+OPTIONAL = {"front", "tune_ins", "cold", "budget", "limits", "streamers", "etcd", "dash"}
+NO_DEFAULT = {"budget", "etcd", "dash"}  # absent where it is not in the file
 
 
 class Faults(ValueError):
@@ -210,6 +226,7 @@
     tokens: dict[str, Token]
     streamers: Streamers
     etcd: Etcd | None
+    dash: DashPart | None
     catalogue: CatalogueFile
     connect: float
     bounds: Bounds
@@ -312,7 +329,13 @@
         faults.append("[streamers] list, or [etcd]: the list of streamers comes from one of them")
     if "etcd" in parts and bool(parts["etcd"].user) != bool(parts["etcd"].password_file):
         faults.append("[etcd] user and password_file: both are needed, or neither")
-    for protocol in ("whep", "whip"):
+    if (served := "dash" in parts) != any(p.protocol == "dash" for p in named["package"].values()):
+        faults.append(
+            "[dash]: " + ("no package has protocol = dash" if served else "missing, a package needs it")
+        )
+    if served and parts["dash"].ahead >= parts["dash"].rotate:
+        faults.append(f"[dash] ahead = {parts['dash'].ahead}: must be under rotate")
+    for protocol in ("whep", "whip", "dash"):
         several = [n for n, p in named["package"].items() if p.protocol == protocol and p.default]
         if len(several) > 1:
             faults.append(
@@ -393,6 +416,7 @@
         tokens=named["token"],
         streamers=_beside(parts["streamers"], near, "list"),
         etcd=_beside(parts["etcd"], near, "password_file", "remembered") if "etcd" in parts else None,
+        dash=_beside(parts["dash"], near, "keys") if "dash" in parts else None,
         catalogue=parts["catalogue"].model_copy(update={"file": str(near / parts["catalogue"].file)}),
         connect=tune_ins.connect,
         bounds=Bounds(**parts["limits"].model_dump()),
--- a/herongap/standins/streamer.py
+++ b/herongap/standins/streamer.py
@@ -17,6 +17,7 @@
 from herongap.orca import HEADER, write_load
 from herongap.sdp import BadSdp, Endpoint, answer
 from herongap.standins import stun
+from herongap.standins.segments import Segments
 from herongap.whep import read_layer, write_event
 from herongap.whep.events import HEARTBEAT
 from herongap.whip import EVENTS, LAYERS, Resource, check_offer, created
@@ -44,6 +45,7 @@
         self.streams: dict[str, list[Queue]] = {}
         self.boot = self.count = 0
         self._short = False
+        self.segments = Segments(self)
         self.address = address
         farm.add(self)
         self.up()
@@ -88,6 +90,9 @@
 
     def order(self, order: dict) -> None:
         """A fault begins or ends, or the process comes or goes."""
+        if order["do"] == "fronts":
+            self.segments.fronts = [tuple(address) for address in order["at"]]
+            return
         if order["do"] == "die":
             self.die()
         self.machine.order(self.clock(), order)
@@ -116,8 +121,10 @@
     def handle(self, request: Request, peer: Peer) -> Reply:
         front = request.headers.get("via", "").split(" ")[-1]
         path = request.path
-        if len(path) == 2 and path[0] in ("whip", "whep") and request.method == "POST":
+        if len(path) == 2 and path[0] in ("whip", "whep", "dash") and request.method == "POST":
             return self._post(path[0], path[1], request, peer, front)
+        if len(path) == 5 and path[0] == "dash" and request.method == "GET":
+            return self.segments.serve(path, request, peer)
         if self.machine.muted(front):
             if request.method == "DELETE" and len(path) > 1 and (asked := self.sessions.get(path[1])):
                 self.log(self.name, "let-go", identity=asked.identity, session=asked.name)
@@ -131,7 +138,7 @@
             return problem("no-such-session")
         if len(path) == 3 and path[2] == "layer" and request.method == "POST":
             return self._layer(session, request)
-        if request.method == "PATCH":
+        if request.method == "PATCH" and session.resource:
             return session.resource.patch(request, self._endpoint(session.resource.restarts + 1))
         if request.method == "DELETE":
             self.log(self.name, "delete", identity=session.identity, session=session.name)
@@ -140,10 +147,13 @@
         return problem("bad-method")
 
     def _post(self, protocol: str, title: str, request: Request, peer: Peer, front: str) -> Reply:
-        offer = check_offer(request, protocol)
-        if isinstance(offer, Reply):
-            return offer
-        identity = " ".join(offer.identity)
+        if protocol == "dash":
+            offer, identity = None, str(json.loads(request.body)["identity"])
+        else:
+            offer = check_offer(request, protocol)
+            if isinstance(offer, Reply):
+                return offer
+            identity = " ".join(offer.identity)
         layer = request.query.get("layer", "0")
         self.log(
             self.name,
@@ -172,7 +182,8 @@
             return self._refuse(identity, problem("internal", "fell over"))
         if self.machine.full():
             return self._refuse(identity, problem("blocked"), self._load_header())
-        return self._start(offer, identity, title, int(layer), front, protocol, peer)
+        named = request.headers.get("idempotency-key", "").strip('"')
+        return self._start(offer, identity, title, int(layer), front, protocol, peer, named)
 
     def _pause(self, peer: Peer, delay: float, identity: str) -> bool:
         if peer.wait(self.cut_off, delay) or peer.gone:
@@ -184,17 +195,20 @@
         self.log(self.name, "refused", identity=identity, status=reply.status)
         return reply._replace(headers=(*reply.headers, *headers))
 
-    def _start(self, offer, identity, title, rung, front, protocol, peer) -> Reply:
+    def _start(self, offer, identity, title, rung, front, protocol, peer, named) -> Reply:
         self.count += 1
         name = f"{self.boot}-{self.count}"
-        me = self._endpoint(0)
-        try:
-            text = answer(offer, me)
-        except BadSdp as fault:
-            return self._refuse(identity, problem("offer-refused", str(fault)))
-        resource = Resource(name, offer.identity[1], me)
-        session = Session(name, identity, title, rung, front, self.clock())
-        session.resource = resource
+        session, text, tag = Session(name, identity, title, rung, front, self.clock()), "{}", f'"{name}"'
+        if offer is None:
+            self.segments.by_viewing[named] = session
+        else:
+            me = self._endpoint(0)
+            try:
+                text = answer(offer, me)
+            except BadSdp as fault:
+                return self._refuse(identity, problem("offer-refused", str(fault)))
+            session.resource = Resource(name, offer.identity[1], me)
+            tag = session.resource.tag
         self.machine.begin(self.clock(), session)
         self.log(self.name, "started", identity=identity, session=name, front=front, title=title, rung=rung)
         if "lose" in self.faults:
@@ -205,9 +219,9 @@
                 peer.sock.close()
             raise Hung
         links = [link(f"/r/{name}/layer", LAYERS)]
-        if protocol == "whep":
+        if protocol != "whip":
             links.append(link(f"/events/{front or '-'}", EVENTS, events="active,inactive,layers,viewercount"))
-        return created(f"/r/{name}", resource.tag, text.encode(), [*links, self._load_header()])
+        return created(f"/r/{name}", tag, text.encode(), [*links, self._load_header()])
 
     def _endpoint(self, restart: int) -> Endpoint:
         number = f"{self.count}x{restart}"
