--- a/herongap/rehearsal/stage.py
+++ b/herongap/rehearsal/stage.py
@@ -31,6 +31,7 @@
 from herongap.fleet.figures import Outcome
 from herongap.standins.etcd import Etcd, fill, put
 from herongap.standins.farm import Log
+from herongap.standins.player import Player
 from herongap.standins.viewer import Viewer
 
 COME_AGAIN = (0.3, 1.2)
@@ -237,12 +238,19 @@
         file.write_text(front_ini(self.day, number, self.seed, self.folder, members))
         self.fronts[number] = self.actors.start_front(number, file)
         self.log("stage", "front", number=number, address=list(self.fronts[number]))
+        # Where streamers have the keys of tokens.
+        self.actors.order(
+            {"do": "fronts", "at": [list(address) for address in self.fronts.values() if address]}
+        )
 
     # Viewers.
 
     def _live(self, arrival: Arrival) -> None:
         draw = random.Random(f"viewer {arrival.name} {self.seed}")
         protocol = self.day.packages[arrival.package].protocol
+        if protocol == "dash":
+            self._watch(arrival, draw)
+            return
         target = f"/{protocol}/{arrival.title}?package={arrival.package}&top={arrival.top}"
         direction = "recvonly" if protocol == "whep" else "sendonly"
         viewer = Viewer(arrival.name, ("", 0), target, self.log, self.seed, direction=direction)
@@ -275,6 +283,43 @@
             gevent.sleep(wait)
             viewer.again()
 
+    def _watch(self, arrival: Arrival, draw: random.Random) -> None:
+        """A DASH player's part: it comes again as others do, to another front where its own is gone."""
+        target = f"/dash/{arrival.title}?package={arrival.package}&top={arrival.top}"
+        player = Player(arrival.name, ("", 0), target, self.log, self.seed)
+        self.log(arrival.name, "wants", package=arrival.package, title=arrival.title, seconds=arrival.length,
+                 top=arrival.top)  # fmt: skip
+        patience, end = self.day.packages[arrival.package].patience, time.monotonic() + arrival.length
+        for _ in range(self.day.clients.tries):
+            front = self._choose(arrival, draw)
+            if front is not None:
+                if front != player.front:
+                    player.front = front
+                    player.again()
+                reply = self._join(player, arrival, patience)
+                if reply is not None and reply.status == 200 and player.play(end - time.monotonic()):
+                    player.delete()
+                    break
+                if draw.random() >= self.day.clients.returns:
+                    break
+                wait = float(reply.header("retry-after") or 0.0) if reply is not None else 0.0
+                gevent.sleep(max(wait, draw.uniform(*COME_AGAIN)))
+            else:
+                gevent.sleep(draw.uniform(*COME_AGAIN))
+            if end - time.monotonic() < 0.5:
+                break
+        self.log(arrival.name, "watched", played=round(player.played, 2), stalled=round(player.stalled, 2),
+                 moves=player.moves, rungs=player.rungs, statuses=player.statuses)  # fmt: skip
+
+    def _join(self, player: Player, arrival: Arrival, patience: float):
+        if arrival.habit in ("repeats", "doubles"):
+            # A second tab, or a retry while the first request is still out.
+            second = gevent.spawn(player.join, patience)
+            reply = player.join(patience)
+            second.join()
+            return reply
+        return player.refresh(patience) if player.location else player.join(patience)
+
     def _choose(self, arrival: Arrival, draw: random.Random) -> Address | None:
         """A controller that listens, its own zone's for choice: what a balancer before the controllers
         does.
