A DASH player that asks too soon is believed once its streamer says so, or says nothing

dash/doubt.py, without I/O: a player that asks for its manifest sooner than half the update period, again and again, makes the front ask the streamer about its session; gone there, or silent twice, the viewing is ended and the next manifest comes from a new one.

--- a/herongap/daemon/dash.py
+++ b/herongap/daemon/dash.py
@@ -10,7 +10,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from urllib.parse import quote
 
 import structlog
@@ -19,10 +19,11 @@
 from herongap.daemon.keys import Keys
 from herongap.daemon.session import Session
 from herongap.daemon.wire import Peer
-from herongap.dash import MPD, Asset, Grant, Video, manifest, read_cmcd
+from herongap.dash import MPD, Asset, Doubt, Grant, Video, manifest, read_cmcd
 from herongap.host import State
 from herongap.http import Reply, Request, problem
 from herongap.ini.site import DashPart
+from herongap.interface import Ending
 
 JSON = "application/json"
 OPEN = (("Access-Control-Allow-Origin", "*"),)  # players run in browsers
@@ -47,6 +48,7 @@
     turn: int = 0
     session: Session | None = None
     closed: bool = False
+    doubt: Doubt = field(default_factory=Doubt)
 
 
 class Dash:
@@ -58,6 +60,7 @@
         self.lines: OrderedDict[str, Line] = OrderedDict()
         self.by_key: dict[tuple, Line] = {}
         self._loaded = 0.0
+        self._update = min(terms.update, terms.token / 2)
 
     def load(self) -> None:
         """Read the keys, make one if it is due; raises OSError."""
@@ -136,6 +139,8 @@
         for _ in range(2):
             session = line.session
             life = session and self._life(session)
+            if life and self._given_up(line, session, life):
+                life = None
             if not life:
                 turn = line.turn
                 session = self.door.enter(self._wish(line, turn), peer)
@@ -147,11 +152,29 @@
                 if line.closed:
                     self.door.host.left(self.door.clock(), session.viewing)
                     return problem("manifest-over")
-                line.session, life = session, self._life(session)
+                if line.session is not session:
+                    line.session, line.doubt = session, Doubt()
+                life = self._life(session)
             if life:
                 return self._write(line, session, life, request)
         return problem("aborted", cause="broken")
 
+    def _given_up(self, line: Line, session: Session, life) -> bool:
+        """Whether a viewing that its player seems not to be served by any more was ended just now."""
+        if not line.doubt.asked(self.door.clock(), self._update):
+            return False
+        number, there = life.number, self.door.port.there(session.remote)
+        now = self.door.clock()
+        if not line.doubt.answered(now, there) or self._life(session) is not life:
+            return False
+        log.info("player believed", viewing=session.viewing, streamer=life.streamer, there=there)
+        if there is None:
+            # It may play on there, unseen from here: it is told to stop as soon as it can be.
+            self.door.host.left(now, session.viewing)
+        else:
+            self.door.host.ended(now, session.viewing, number, Ending.BROKEN)
+        return True
+
     def _life(self, session: Session):
         life = self.door.host.lives.get(session.viewing)
         return life if life and life.state is State.PLAYING else None
@@ -179,8 +202,7 @@
         base = f"http://{host}:{port}/dash/{quote(line.title, safe='')}/{token}/"
         near = self.terms.url or f"http://{request.headers.get('host', '')}"
         location = f"{near}/manifests/{line.secret}"
-        update = min(self.terms.update, self.terms.token / 2)
-        body = manifest(self._asset(line.title), grant.floor, grant.top, base, location, now, update)
+        body = manifest(self._asset(line.title), grant.floor, grant.top, base, location, now, self._update)
         told = (
             ("Content-Type", MPD), ("Cache-Control", "no-store"), ("Content-Location", location),
             ("ETag", f'"{line.turn - 1}"'), *OPEN,
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -238,6 +238,14 @@
         now = self.clock()
         self.host.probed(now, streamer, how, now - began, load)
 
+    def there(self, remote: Remote) -> bool | None:
+        """Whether a streamer still has a session; None where it does not say."""
+        try:
+            # A session resource serves no GET (RFC 9725, 4.2: 405); what matters is that it is one.
+            return self._call(remote.streamer, "GET", remote.path, b"", 0.5).status not in (404, 410)
+        except (OSError, h11.ProtocolError, KeyError):
+            return None
+
     def forward(self, remote: Remote, method: str, headers: list[tuple[str, str]], body: bytes) -> Reply:
         """A client's PATCH to its session's streamer; raises OSError, h11.ProtocolError or KeyError."""
         return self._call(remote.streamer, method, remote.path, body, 3.0, headers)
--- a/herongap/dash/__init__.py
+++ b/herongap/dash/__init__.py
@@ -1,6 +1,7 @@
 """DASH with session tokens, without I/O: manifests, tokens, the ring of keys, what players report."""
 
 from herongap.dash.cmcd import read_cmcd
+from herongap.dash.doubt import Doubt
 from herongap.dash.mpd import MPD, Asset, Video, manifest
 from herongap.dash.ring import Key, Ring
 from herongap.dash.tokens import Checker, Grant, Refusal, mint, new_key, published
@@ -9,6 +10,7 @@
     "MPD",
     "Asset",
     "Checker",
+    "Doubt",
     "Grant",
     "Key",
     "Refusal",
--- a/herongap/standins/segments.py
+++ b/herongap/standins/segments.py
@@ -10,6 +10,7 @@
 
 import gevent
 import h11
+from gevent.lock import RLock
 
 from herongap.daemon.wire import Address, Call, Hung, Peer
 from herongap.dash import Checker, Refusal, read_cmcd
@@ -34,7 +35,7 @@
         self.checker = Checker(streamer.name, {"keys": []})
         self.by_viewing: dict[str, object] = {}
         self.segment = 2.0
-        self.fetched = float("-inf")
+        self.fetched, self.fetching = float("-inf"), RLock()
         self.refused: dict[str, int] = {}
 
     def serve(self, path: list[str], request: Request, peer: Peer) -> Reply:
@@ -86,17 +87,21 @@
         try:
             return self.checker.check(self.wall(), token, title)
         except Refusal as refusal:
-            if refusal.kind != "unknown-key" or not self._fetch():
+            if refusal.kind != "unknown-key" or not self._fetch(refusal.kid):
                 raise
         return self.checker.check(self.wall(), token, title)
 
-    def _fetch(self) -> bool:
+    def _fetch(self, kid: str) -> bool:
         """Read the published keys; at most once in a while, whatever strangers' tokens name."""
-        now = self.streamer.clock()
-        if now - self.fetched < FETCH:
-            return False
-        self.fetched = now
-        return any(self._fetch_from(address) for address in self.fronts)
+        with self.fetching:
+            # Whoever comes while the set is being fetched waits for it, and finds the key there.
+            if kid in self.checker.kids:
+                return True
+            now = self.streamer.clock()
+            if now - self.fetched < FETCH:
+                return False
+            self.fetched = now
+            return any(self._fetch_from(address) for address in self.fronts)
 
     def _fetch_from(self, address: Address) -> bool:
         call = None
--- a/tests/test_dash.py
+++ b/tests/test_dash.py
@@ -20,6 +20,7 @@
 from herongap.dash import (
     Asset,
     Checker,
+    Doubt,
     Grant,
     Key,
     Refusal,
@@ -372,3 +373,18 @@
 def test_no_report_breaks_its_reader(text):
     for value in read_cmcd(text, {"cmcd-object": text}).values():
         assert isinstance(value, int | float | str | bool)
+
+
+# Players that ask too soon.
+
+
+def test_a_player_is_believed_only_with_its_streamers_word_or_silence():
+    d = Doubt()
+    assert not any(d.asked(float(at), 1.0) for at in range(10)), "in time"
+    assert not d.asked(9.1, 1.0) and d.asked(9.2, 1.0) and not d.asked(9.3, 1.0), "not at every request"
+    assert not d.answered(9.3, True)
+    assert not any(d.asked(9.3 + i / 10, 1.0) for i in range(29)), "the streamer has said that all is well"
+    assert d.asked(12.4, 1.0) and d.answered(12.4, False)
+    d = Doubt()
+    asked = [at / 10 for at in range(20) if d.asked(at / 10, 1.0) and d.answered(at / 10, None)]
+    assert asked and asked[0] < 1.0, "twice without an answer"
--- a/tests/test_dash_front.py
+++ b/tests/test_dash_front.py
@@ -194,6 +194,29 @@
     assert late.join().status == 200, "the same line, a new viewing"
 
 
+def test_a_player_knows_before_its_front_that_a_streamer_is_cut_off_from_it(world):
+    w = world()
+    p = w.player()
+    p.join()
+    st = w.at(p.manifest)
+    w.order("cut", st.name, fronts=["herongap-"])
+    st.end(next(iter(st.sessions.values())), "front-gone", tell=False)
+    began = w.daemon.clock()
+    assert p.play(4.0) and p.moves == 1 and p.rungs
+    assert w.daemon.clock() - began < 6 and w.at(p.manifest) is not st
+
+
+def test_early_requests_of_a_player_that_is_served_move_nothing(world):
+    w = world()
+    p = w.player()
+    p.join()
+    w.segment(p.manifest)
+    for _ in range(12):
+        assert p.refresh().status == 200
+        gevent.sleep(0.02)
+    assert w.count("post") == 1 and p.moves == 0
+
+
 @pytest.mark.parametrize(
     "target, method, status",
     [
