The demo serves DASH too; a streamer may serve some members alone

herongap demo shows both fronts; its test plays a second of DASH. A token of one member is refused at a streamer that serves others, as those of another title or streamer are.

--- a/herongap/cli/serve.py
+++ b/herongap/cli/serve.py
@@ -67,10 +67,12 @@
 rates = 150, 400, 900, 1800
 values = 0.3, 0.55, 0.8, 1.0
 [package standard]
+protocol = whep, dash
 default = yes
 join_target = 1.5
 patience = 5
 [package priority]
+protocol = whep, dash
 join_target = 0.8
 patience = 4
 value = 2
@@ -87,6 +89,8 @@
 rack = 70000
 [places]
 std = 200
+[dash]
+keys = keys
 [streamers]
 list = streamers.json
 [catalogue]
@@ -101,8 +105,9 @@
 def demo(port: int, streamers: int, log_level: str) -> None:
     """Run a front with stand-in streamers in one process, on loopback, until SIGTERM or SIGINT.
 
-    The first line of output tells where it listens. Titles "1" to "20" are served at /whep/TITLE and
-    /whip/TITLE, without credentials. No media flows: the stand-ins only speak the signalling.
+    The first line of output tells where it listens. Titles "1" to "20" are served at /whep/TITLE,
+    /whip/TITLE and /dash/TITLE, without credentials. No media flows: WHEP and WHIP are signalling alone, DASH
+    segments are as many bytes as they would be, a hundredth of them, and all zero.
     """
     from herongap.standins import Farm, Kind, Streamer
     from herongap.standins.farm import Log
@@ -129,5 +134,7 @@
             daemon.start()
         except OSError as fault:
             raise click.ClickException(f"cannot start: {fault}") from fault
+        for st in all_of_them:
+            st.segments.fronts = [daemon.address]
         until_signal(daemon)
         farm.close()
--- a/herongap/dash/tokens.py
+++ b/herongap/dash/tokens.py
@@ -37,7 +37,7 @@
 class Refusal(Exception):
     """Why a token is not taken: `kind` is one of KINDS."""
 
-    KINDS = ("malformed", "forged", "unknown-key", "early", "expired", "elsewhere", "title")
+    KINDS = ("malformed", "forged", "unknown-key", "early", "expired", "elsewhere", "member", "title")
 
     def __init__(self, kind: str, kid: str = ""):
         super().__init__(kind)
@@ -64,14 +64,15 @@
 
 
 class Checker:
-    """What one streamer checks tokens by. Those it has checked lately are not verified again: a player brings
-    the same one with each segment.
+    """What one streamer checks tokens by; `members` are those that it serves, None for all.
+
+    Tokens that it has checked lately are not verified again: a player brings the same one with each segment.
     """
 
     KEPT = 4096
 
-    def __init__(self, streamer: str, jwks: dict):
-        self.streamer = streamer
+    def __init__(self, streamer: str, jwks: dict, members: frozenset[str] | None = None):
+        self.streamer, self.members = streamer, members
         self.checked: OrderedDict[str, Grant] = OrderedDict()
         self.learn(jwks)
 
@@ -107,6 +108,8 @@
             raise Refusal("early")
         if grant.streamer != self.streamer:
             raise Refusal("elsewhere")
+        if self.members is not None and grant.member not in self.members:
+            raise Refusal("member")
         if grant.title != title:
             raise Refusal("title")
         return grant
--- a/herongap/standins/segments.py
+++ b/herongap/standins/segments.py
@@ -49,7 +49,7 @@
             grant = self._check(token, title)
         except Refusal as refusal:
             self.refused[refusal.kind] = self.refused.get(refusal.kind, 0) + 1
-            kind = "not-allowed" if refusal.kind in ("elsewhere", "title") else "token-refused"
+            kind = "not-allowed" if refusal.kind in ("elsewhere", "member", "title") else "token-refused"
             return problem(kind, refusal.kind, OPEN)
         session = self.by_viewing.get(grant.viewing)
         if session is None or session.name not in st.sessions:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -19,6 +19,7 @@
 from herongap.intake import Bounds, Intake
 from herongap.interface import Standing
 from herongap.standins import Viewer
+from herongap.standins.player import Player
 
 
 def site(tmp_path, text):
@@ -197,6 +198,8 @@
         assert viewer.post(5).status == 201
         assert Viewer("p", address, "/whip/1", log, direction="sendonly").post(5).status == 201
         assert Viewer("u", address, "/whep/21", log).post(5).status == 404
+        player = Player("d", address, "/dash/20", log)
+        assert player.join().status == 200 and player.play(1.0) and set(player.statuses) == {200}
         began = time.monotonic()
         process.send_signal(signal.SIGTERM)
         assert process.wait(timeout=15) == 0 and time.monotonic() - began < 12
