--- a/tests/test_dash.py
+++ b/tests/test_dash.py
@@ -152,7 +152,9 @@
     assert refused(checker(streamer="s4"), token) == "elsewhere"
     assert refused(check, token, title="sport") == "title"
     own = Checker("s3", published([KEY]), frozenset(["m"]))
-    assert own.check(NOW + 1, token, "news") and refused(own, mint(KEY, GRANT._replace(member="n"))) == "member"
+    assert (
+        own.check(NOW + 1, token, "news") and refused(own, mint(KEY, GRANT._replace(member="n"))) == "member"
+    )
     assert refused(check, token, NOW - SKEW - 1) == "early"
     assert check.check(NOW + 60 + SKEW - 0.1, token, "news"), "clocks may differ by so much"
     assert refused(check, token, NOW + 60 + SKEW) == "expired"
