A fault of ours neither stops the list nor loses a change; progress confirms a quiet list

Read as on call at night: an exception in taking a list ended its greenlet for good, and changes that had been taken and not told were lost; a quiet cluster's progress did not count as confirming the list, so its age grew. A lock on the key folder that another process holds no longer stops the loop, and HEAD sets up no viewing.

--- a/herongap/daemon/dash.py
+++ b/herongap/daemon/dash.py
@@ -72,16 +72,16 @@
         if path == [".well-known", "jwks.json"] and request.method in ("GET", "HEAD"):
             self._renew()
             kept = ("Cache-Control", f"max-age={int(self.terms.ahead / 4)}")
-            return Reply(
-                200, (("Content-Type", JSON), kept), json.dumps(self.keys.jwks(self.wall())).encode()
-            )
+            keys = json.dumps(self.keys.jwks(self.wall())).encode()
+            return Reply(200, (("Content-Type", JSON), kept), keys)
         if len(path) != 2 or path[0] not in ("dash", "manifests") or not path[1]:
             return None
-        if request.method not in ("GET", "HEAD", *(("DELETE",) if path[0] == "manifests" else ())):
-            return problem("bad-method", headers=[("Allow", "GET, HEAD, DELETE")])
-        return (
-            self._first(path[1], request, peer) if path[0] == "dash" else self._again(path[1], request, peer)
-        )
+        # No HEAD: to say what a manifest would be, a viewing would have to be set up.
+        allowed = ("GET", "DELETE") if path[0] == "manifests" else ("GET",)
+        if request.method not in allowed:
+            return problem("bad-method", headers=[("Allow", ", ".join(allowed))])
+        serve = self._first if path[0] == "dash" else self._again
+        return serve(path[1], request, peer)
 
     # Lines.
 
--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -90,6 +90,7 @@
         self.store = Remembered(terms.remembered) if terms.remembered else None
         self.known_at: float | None = None  # when the list was last known to be whole
         self.from_store, self.place = False, None
+        self._owed = False
         self._stream: Call | None = None
         self._stored = 0
 
@@ -142,6 +143,10 @@
                 if isinstance(fault, Refused) and fault.code == m.UNAUTHENTICATED:
                     self.client.forget_token()
                 log.warning("etcd failed", member=address, cause=repr(fault), state=self.state)
+            except Exception:
+                # A fault of ours: a list that has silently stopped would be worse than one that is tried on.
+                self.endpoints.failed(address)
+                log.exception("the list could not be taken", member=address)
             gevent.sleep(self.endpoints.wait())
 
     def _read(self, address: str) -> None:
@@ -226,14 +231,18 @@
 
     def _publish(self, kind: str, first: bool = False) -> None:
         """Tell what has changed; a whole list is told whole, so that what vanished is known to."""
+        if self._owed:
+            kind = "whole"  # changes were taken and never told: a fault came between
         changes = self.follower.changes()
         if not changes and kind == "changes":
             return
+        self._owed = True
         touched = self.directory.take(self.clock(), changes, first)
         lines = self.directory.lines(touched) if kind == "changes" else self.directory.whole()
         if touched or kind != "changes":
             # Addresses of what has changed alone: a list of thousands changes a thousand times a second.
             self.listed(kind, lines, self.directory.addresses(line.streamer for line in lines))
+        self._owed = False
         self._reckon()
 
     # Controllers.
@@ -249,8 +258,11 @@
                 except NETWORK as fault:
                     self.membership.failed(self.clock())
                     log.warning("lease not kept", step=step.value, cause=repr(fault))
-                    if isinstance(fault, Refused) and fault.code == 5:
+                    if isinstance(fault, Refused) and fault.code == m.NOT_FOUND:
                         self.membership.lapsed()
+                except Exception:
+                    self.membership.failed(self.clock())
+                    log.exception("lease not kept", step=step.value)
             gevent.sleep(min(0.2, max(0.01, self.membership.due - self.clock())))
 
     def _doubt(self) -> None:
--- a/herongap/daemon/keys.py
+++ b/herongap/daemon/keys.py
@@ -11,6 +11,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+import gevent
 import structlog
 from joserfc.errors import JoseError
 from joserfc.jwk import OKPKey
@@ -107,7 +108,7 @@
                 except BlockingIOError:
                     if time.monotonic() > until:
                         raise
-                    time.sleep(0.01)
+                    gevent.sleep(0.01)  # viewings go on meanwhile
             yield
         finally:
             os.close(handle)
--- a/herongap/etcd/follower.py
+++ b/herongap/etcd/follower.py
@@ -166,7 +166,7 @@
         events, self._parts = self._parts + reply.events, []
         if events:
             return self._apply(events)
-        if reply.header.revision <= self.revision:
+        if reply.header.revision < self.revision:
             return Told.OLD
         self.revision = reply.header.revision
         return Told.TAKEN
--- a/herongap/etcd/messages.py
+++ b/herongap/etcd/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+NOT_FOUND = 5  # gRPC: a lease that is gone
 COMPACTED = 11  # gRPC OUT_OF_RANGE: a revision that is gone, or is not there yet
 UNAUTHENTICATED = 16
 FRAME = 32 << 20  # bytes of one stream object; etcd fragments watch replies far below
--- a/tests/test_dash_front.py
+++ b/tests/test_dash_front.py
@@ -228,6 +228,7 @@
         ("/dash/9", "GET", 404),
         ("/dash/1?package=standard", "GET", 403),
         ("/dash/1", "POST", 405),
+        ("/dash/1", "HEAD", 405),
         ("/manifests/nobody", "GET", 410),
         ("/.well-known/jwks.json", "GET", 200),
         ("/.well-known/nothing", "GET", 404),
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -167,6 +167,27 @@
     assert f.revision == 3 and not f.changes(), "the same value in a restored cluster is no change"
 
 
+def test_progress_without_news_confirms_the_list_and_an_older_one_does_not():
+    f, turn = following(kv("a", 5))
+    assert f.watched(turn, m.Watch(head(10))) is Told.TAKEN and f.revision == 10
+    assert f.watched(turn, m.Watch(head(9))) is Told.OLD and f.revision == 10
+
+
+def test_a_fault_of_ours_neither_stops_the_list_nor_loses_a_change():
+    with cluster() as etcd:
+        w = Watcher(etcd)
+        until(lambda: w.feed.state == "following")
+        good, w.feed.listed = w.feed.listed, lambda *_: 1 / 0
+        drain(etcd, "s0")
+        until(lambda: w.feed.follower.counts["watches"] > 1)
+        w.feed.listed = good
+        drain(etcd, "s1")
+        until(lambda: w.standing("s1") is Standing.LEAVING and w.feed.state == "following")
+        told = {line.streamer: line.standing for _, lines, _ in w.told for line in lines}
+        assert told["s0"] is Standing.LEAVING and told["s1"] is Standing.LEAVING
+        w.close()
+
+
 def test_a_read_in_pages_is_of_one_revision_and_begins_again_when_it_breaks():
     f = Follower()
     assert f.paged(m.Range(head(10), [kv("a", 5)], more=True)) is Told.PART
