--- a/benchmarks/mixed.py
+++ b/benchmarks/mixed.py
@@ -2,8 +2,10 @@
 
     python benchmarks/mixed.py FOLDER [FOLDER ...]
 
-Stalls are seconds without a picture over seconds wanted of it, as players count them; the rung fetched is set
-beside the rung that the module had its streamer charge at that moment. All figures are simulated.
+Stalls are seconds without a picture over seconds wanted of it, as players count them; beside them the part
+that the module held to be missing of what its viewings ask for, over both fronts, from the records. The rung
+fetched is set beside the rung that the module had its streamer charge at that moment. All figures are
+simulated.
 """
 
 import json
@@ -11,6 +13,9 @@
 from collections import Counter
 from pathlib import Path
 
+from herongap.host import State
+from herongap.host.replay import steps
+
 
 def lines(path: Path):
     with open(path, encoding="utf-8") as file:
@@ -19,6 +24,26 @@
                 yield json.loads(line)
 
 
+def missing(folder: Path) -> float:
+    """The part of the held viewings' time that the module took for not delivered."""
+    held = lost = 0.0
+    for path in sorted(folder.glob("*.record")):
+        before = None
+        with open(path, "rb") as record:
+            for step in steps(record):
+                now, host = step.input.now, step.host
+                if before is not None and now > before:
+                    shares = [
+                        host.module.streamers[life.streamer].share
+                        for life in host.lives.values()
+                        if life.state is State.PLAYING and life.streamer in host.module.streamers
+                    ]
+                    held += (now - before) * len(shares)
+                    lost += (now - before) * sum(1 - share for share in shares)
+                before = now
+    return lost / max(held, 1e-9)
+
+
 def one(folder: Path) -> dict:
     charged: dict[str, int] = {}
     pairs: Counter = Counter()
@@ -40,6 +65,7 @@
         "players": len(watched),
         "played s": round(played),
         "stalls": round(stalled / max(1.0, played + stalled), 4),
+        "missing, as the module held": round(missing(folder), 4),
         "without a stall": round(sum(d["stalled"] < 0.05 for d in watched) / max(1, len(watched)), 3),
         "moves": sum(d["moves"] for d in watched),
         "segments": segments,
