A repeated claim of a controller's number knows its own

A claim whose answer was lost found its own key when it was repeated, and waited for its own lease to run out.

--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -282,7 +282,7 @@
             case Step.CLAIM:
                 value = changed_value(None, name=self.name)
                 body = m.claim_body(self.key, value, self.membership.lease)
-                won = self.client.call(address, "/v3/kv/txn", body, m.Txn).succeeded
+                won = self.client.call(address, "/v3/kv/txn", body, m.Txn).won(self.membership.lease)
                 self.membership.claim_answered(self.clock(), now, won)
                 if not won:
                     log.warning("number held by another", key=self.key)
--- a/herongap/etcd/messages.py
+++ b/herongap/etcd/messages.py
@@ -83,9 +83,25 @@
     error: str = ""
 
 
+class _Ranged(msgspec.Struct):
+    kvs: list[KeyValue] = []
+
+
+class _Response(msgspec.Struct):
+    response_range: _Ranged | None = None
+
+
 class Txn(msgspec.Struct):
+    """The answer to a claim. Where it failed, what stands in its way."""
+
     header: Header
     succeeded: bool = False
+    responses: list[_Response] = []
+
+    def won(self, lease: int) -> bool:
+        """Whether the key is under that lease: put just now, or by a claim whose answer was lost."""
+        found = [kv for r in self.responses if r.response_range for kv in r.response_range.kvs]
+        return self.succeeded or any(kv.lease == lease for kv in found)
 
 
 class Put(msgspec.Struct):
@@ -151,10 +167,11 @@
 
 
 def claim_body(key: str, value: bytes, lease: int) -> bytes:
-    """Put a key under a lease if nobody holds it (a transaction on its create revision)."""
+    """Put a key under a lease if nobody holds it (a transaction on its create revision), else read it."""
     put = {"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}
+    there = {"request_range": {"key": b64(key)}}
     compare = {"key": b64(key), "target": "CREATE", "result": "EQUAL", "create_revision": "0"}
-    return msgspec.json.encode({"compare": [compare], "success": [put], "failure": []})
+    return msgspec.json.encode({"compare": [compare], "success": [put], "failure": [there]})
 
 
 def grant_body(ttl: int) -> bytes:
--- a/herongap/standins/etcd.py
+++ b/herongap/standins/etcd.py
@@ -289,10 +289,14 @@
             if compare.get("target") != "CREATE" or compare.get("result", "EQUAL") != "EQUAL":
                 return _error(12, "this stand-in compares create revisions alone", 400)
             holds &= (there["create"] if there else 0) == int(compare.get("create_revision", 0))
+        responses = []
         for op in asked.get("success" if holds else "failure", []):
-            if "request_put" in op and (reply := self._put(op["request_put"], who)).status != 200:
+            name, inner = next(iter(op.items()))
+            reply = {"request_put": self._put, "request_range": self._range}[name](inner, who)
+            if reply.status != 200:
                 return reply
-        return self._reply(**({"succeeded": True} if holds else {}))
+            responses.append({name.replace("request", "response"): json.loads(reply.body)})
+        return self._reply(responses=responses, **({"succeeded": True} if holds else {}))
 
     def _compact(self, asked: dict, who: str) -> Reply:
         self.etcd.history.compact(int(asked["revision"]))
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -512,6 +512,25 @@
         w.close()
 
 
+def test_a_claim_whose_answer_was_lost_is_known_for_ours_when_it_is_repeated():
+    with cluster() as etcd:
+        member = etcd.members[0]
+        claims, serve = [], member._txn
+
+        def once_lost(asked, who):
+            reply = serve(asked, who)
+            claims.append(json.loads(reply.body).get("succeeded", False))
+            if len(claims) == 1:
+                raise ConnectionResetError("the answer is lost")
+            return reply
+
+        member._txn = once_lost
+        w = Watcher(etcd)
+        until(lambda: w.places and w.places[-1] == (0, 1), 1.9)  # well before the lease would run out
+        assert claims[:2] == [True, False]
+        w.close()
+
+
 def test_the_stand_in_filters_watches():
     with cluster() as etcd:
         member = etcd.members[0]
