--- /dev/null
+++ b/herongap/state/recovery.py
@@ -0,0 +1,89 @@
+"""What becomes of each viewing when a controller comes back: what it had kept, beside what streamers hold of
+its.
+
+A record is kept before the effect that depends on it (a tune-in, a rung, an end), so what a streamer holds is
+always kept or older than the store; and what is kept may never have happened. No viewing is set up by
+recovery: at most it is taken up again, or ended.
+"""
+
+from collections.abc import Iterable, Mapping
+from enum import Enum
+from typing import NamedTuple
+
+Id = int | str
+
+
+class Known(Enum):
+    """How far a viewing had got when it was kept last."""
+
+    SENT = "sent"  # its tune-in was about to leave; its viewer has no answer
+    PLAYING = "playing"  # its viewer has been told
+    CLOSING = "closing"  # its end was about to be told to its streamer
+
+
+class Kept(NamedTuple):
+    """A viewing as the store has it."""
+
+    viewing: Id
+    number: int
+    streamer: Id
+    known: Known
+    rung: int
+    value: float = 1.0
+
+
+class Found(NamedTuple):
+    """A session that a streamer holds for this controller, by the name that its set-up carried."""
+
+    viewing: Id
+    number: int
+    rung: int
+
+
+class Fate(Enum):
+    ADOPT = "adopt"  # it plays on, and is controlled again
+    END = "end"  # it is ended at its streamer: nobody has it, or it was ending
+    GONE = "gone"  # it is over; its seat and load are free
+    WAIT = "wait"  # its streamer has not said: its seat counts, nothing is sent there for it
+
+
+def reconcile(
+    kept: Iterable[Kept], found: Mapping[Id, Iterable[Found] | None]
+) -> list[tuple[Fate, Id, Kept | Found]]:
+    """The fate of all that is kept or found: (fate, streamer, viewing), in the order in which it is to be
+    done.
+
+    `found` has, for each streamer, what it holds, or None where it does not say. What a streamer holds under
+    another number than the store knows is an older tune-in that was called off: a ghost.
+    """
+    held = {
+        (streamer, f.viewing, f.number): f
+        for streamer, all_of_them in found.items()
+        for f in all_of_them or ()
+    }
+    fates: list[tuple[Fate, Id, Kept | Found]] = []
+    for k in kept:
+        session = held.pop((k.streamer, k.viewing, k.number), None)
+        if found.get(k.streamer) is None:
+            fates.append((Fate.WAIT, k.streamer, k))
+        elif session is None:
+            fates.append((Fate.GONE, k.streamer, k))
+        elif k.known is Known.PLAYING:
+            fates.append((Fate.ADOPT, k.streamer, k))
+        else:
+            # Sent, and it runs: its viewer's connection ended with the old process, nobody has its answer.
+            fates.append((Fate.END, k.streamer, k))
+    fates += [(Fate.END, streamer, f) for (streamer, _, _), f in held.items()]
+    return sorted(fates, key=_order)
+
+
+def _order(fate: tuple[Fate, Id, Kept | Found]) -> tuple:
+    """What plays first, the dearest before others; then what only takes up room."""
+    what, streamer, viewing = fate
+    value = viewing.value if isinstance(viewing, Kept) else 0.0
+    return (
+        [Fate.ADOPT, Fate.GONE, Fate.END, Fate.WAIT].index(what),
+        -value,
+        str(streamer),
+    )
+    str(viewing.viewing)
