--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -10,7 +10,6 @@
  5. word of others: notes, reports and probes correct the link estimate, and fade to what others usually ask
  6. floods: a member asking far beyond its usual rate gets floor rungs, on spare room only
 """
-
 from collections import Counter, defaultdict, deque
 from heapq import heappop, heappush
 from math import exp
@@ -20,22 +19,22 @@
 from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Package, Repeat, Standing
 
 PERIOD, RANKS, WINDOW = 0.5, 5.0, 60.0  # the timer; ranks refresh; old viewings fade from a cell
-THIN, SEED = 3, 0.05  # viewings that make a cell count; share of set-ups that go round robin all the same
+THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 TIE, CROSS = 0.10, 0.1  # scores this close to the best tie; another zone counts as so much fuller among them
-MARK = 0.95  # part of a link or uplink that set-ups and raises may fill
-AHEAD = 2.0  # a rung above the floor must fit so many times more, as far as others meet this one
-OVER = 1.04  # use above which playing viewings are cut
-SETTLE = 1.0  # seconds that a cut has to show, beside the lateness of notes
-DWELL = 6.0  # a viewing is not raised sooner after its last step
-FAIL_SECONDS = 10.0  # seconds of full stall that a failed tune-in counts as in its cell
-SILENT = 0.4  # share delivered under which a streamer counts as failing, not as full
-AWAY = 4.0  # how long a failing streamer is set aside, and half as much more by chance
+MARK = 0.95             # part of a link or uplink that set-ups and raises may fill
+AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
+OVER = 1.04             # use above which playing viewings are cut
+SETTLE = 1.0            # seconds that a cut has to show, beside the lateness of notes
+DWELL = 6.0             # a viewing is not raised sooner after its last step
+FAIL_SECONDS = 10.0     # seconds of full stall that a failed tune-in counts as in its cell
+SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
+AWAY = 4.0              # how long a failing streamer is set aside, and half as much more by chance
 HOLD, FIRST = 0.4, 0.45  # parts of the join target: held without room; taken by a first tune-in
-FADE = 16.0  # seconds in which word of others' use fades
-PACE = 0.6  # part of the allowance for cold streamers that is used
-RUSH = 4  # playing viewings that one in wait counts as where controllers share a slot
+FADE = 16.0             # seconds in which word of others' use fades
+PACE = 0.6              # part of the allowance for cold streamers that is used
+RUSH = 4                # playing viewings that one in wait counts as where controllers share a slot
 FLOOD, LEAST = 4.0, 5.0  # a member floods at so many times its usual rate and so many viewings a second more
-FLOOD_MARK = 0.5  # part of links and of places that a flood may fill
+FLOOD_MARK = 0.5        # part of links and of places that a flood may fill
 FORGET, COME_BACK = 120.0, 0.5  # a streamer that left is forgotten; a blocked viewer may come again
 NEVER_RAN = (Ending.FULL, Ending.UNREACHED, Ending.NOT_SENT)
 
@@ -93,10 +92,8 @@
         self.rates = [kb * p.scale for kb in ladder]
         self.adds = join_adds if p.live else 1.0
         # Value for each kB a second that the step up to a rung brings: cheapest steps are cut first.
-        self.gain = [
-            max(p.value * (w - v), 1e-9) / max(kb - k, 1e-9)
-            for w, v, kb, k in zip(worths, (0.0, *worths), self.rates, (0.0, *self.rates), strict=False)
-        ]
+        self.gain = [max(p.value * (w - v), 1e-9) / max(kb - k, 1e-9) for w, v, kb, k in
+                     zip(worths, (0.0, *worths), self.rates, (0.0, *self.rates), strict=False)]
 
 
 class Controller:
@@ -151,13 +148,8 @@
                 if st.line.streamer not in named:
                     st.line = st.line._replace(standing=Standing.LEFT)
         # Words on a streamer can trail its last viewing, but not by this long.
-        for sid in [
-            sid
-            for sid, st in self.streamers.items()
-            if st.line.standing is Standing.LEFT
-            and not st.held
-            and now - max(st.link.heard, st.came) > FORGET
-        ]:
+        for sid in [sid for sid, st in self.streamers.items() if st.line.standing is Standing.LEFT
+                    and not st.held and now - max(st.link.heard, st.came) > FORGET]:
             del self.streamers[sid]
         self.look = True
 
@@ -227,17 +219,8 @@
             vw.playing, vw.stepped = True, now
             self.table[vw.package.name, streamer][0] += 1
 
-    def ended(
-        self,
-        now: float,
-        viewing: int,
-        number: int,
-        streamer: int,
-        how: Ending,
-        taken: float,
-        closed: bool,
-        load: Load | None,
-    ) -> None:
+    def ended(self, now: float, viewing: int, number: int, streamer: int, how: Ending, taken: float,
+              closed: bool, load: Load | None) -> None:
         st = self.streamers[streamer]
         self.loaded(now, st, load)
         vw = self.viewings.get(viewing)
@@ -321,13 +304,8 @@
     def place(self, now: float, vw: Viewing) -> bool:
         """Send a waiting viewing to the best holder with room, or say that there is none."""
         p = vw.package
-        holders = [
-            st
-            for st in self.streamers.values()
-            if st.line.shelf in vw.ask.holders
-            and st.line.streamer not in vw.tried
-            and self.repeats_at(now, vw, st)
-        ]
+        holders = [st for st in self.streamers.values() if st.line.shelf in vw.ask.holders
+                   and st.line.streamer not in vw.tried and self.repeats_at(now, vw, st)]
         spent = vw.tries >= self.tune_ins or (vw.tries and not holders)
         if spent or vw.top < p.floor or vw.until - now < 0.05:
             # Waiting would not help: the viewer is better off coming again.
@@ -335,28 +313,17 @@
             return True
         seated = p.seats and p.seats <= sum(
             held.streamer is not None and held.package is p and held.ask.title == vw.ask.title
-            for held in self.viewings.values()
-        )
+            for held in self.viewings.values())
         if seated or (vw.tries and not self.may_repeat(now)):
             return False
-        ready = [
-            st
-            for st in holders
-            if st.line.standing is Standing.ACTIVE
-            and self.paced(now, st)
-            and len(st.held) < self.places.get(st.line.kind, 1 << 30)
-        ]
+        ready = [st for st in holders if st.line.standing is Standing.ACTIVE
+                 and self.paced(now, st) and len(st.held) < self.places.get(st.line.kind, 1 << 30)]
         # Where all lose answers all are set aside: one that has been heard of since is better than none.
         ready = [st for st in ready if st.back <= now] or [
-            st for st in ready if st.link.heard > st.back - AWAY
-        ]
+            st for st in ready if st.link.heard > st.back - AWAY]
         if vw.flood:
-            ready = [
-                st
-                for st in ready
-                if self.use(now, st, p.rates[p.floor]) <= FLOOD_MARK
-                and len(st.held) < FLOOD_MARK * self.places.get(st.line.kind, 1) / self.controllers
-            ]
+            ready = [st for st in ready if self.use(now, st, p.rates[p.floor]) <= FLOOD_MARK
+                     and len(st.held) < FLOOD_MARK * self.places.get(st.line.kind, 1) / self.controllers]
         if vw.waits in self.probing or (vw.waits is None and self.inquire(now, vw, ready)):
             return False
         for rung in range(p.floor if vw.flood else vw.top, p.floor - 1, -1):
@@ -385,13 +352,8 @@
         name = vw.package.name
         # A controller with few viewings has thin cells alone: they count as the average of their zone, as the
         # paper's k-NN takes neighbours at a greater distance, and seeding is left to rows that can fill.
-        score = {
-            st: self.ranks.get(
-                (name, st.line.streamer),
-                self.ranks.get((name, st.line.zone), self.ranks.get((name, None), 0.0)),
-            )
-            for st in room
-        }
+        score = {st: self.ranks.get((name, st.line.streamer), self.ranks.get(
+            (name, st.line.zone), self.ranks.get((name, None), 0.0))) for st in room}
         best = max(score.values())
         tied = [st for st in room if score[st] >= best - TIE * abs(best)]
         near = {st: st.line.zone == self.zone for st in room}
@@ -440,13 +402,8 @@
         if not vw.ran or p.repeat is Repeat.HARMLESS:
             return True
         return p.repeat is Repeat.IN_GROUP and all(
-            now - sent < p.window
-            and (
-                p.group is Group.ALL
-                or (zone == st.line.zone and (p.group is Group.ZONE or cell == st.line.cell))
-            )
-            for zone, cell, sent in vw.ran
-        )
+            now - sent < p.window and (p.group is Group.ALL or (zone == st.line.zone and (
+                p.group is Group.ZONE or cell == st.line.cell))) for zone, cell, sent in vw.ran)
 
     def paced(self, now: float, st: Streamer) -> bool:
         """Cold streamers take one set-up in each of this controller's own slots."""
@@ -526,8 +483,7 @@
                 more = max(rates[rung] - rates[vw.rung], 1e-9) / st.link.size
                 part = (MARK - use) / (more + max(0.0, use - own) * (rates[rung] / rates[vw.rung] - 1))
                 if use + more * (1 + self.room(vw.package, rung)) <= MARK and (
-                    part >= 1 or (rung == vw.rung + 1 and self.chance() < part)
-                ):
+                        part >= 1 or (rung == vw.rung + 1 and self.chance() < part)):
                     self.step(now, vw, rung)
                     return
 
@@ -539,11 +495,8 @@
             if use <= OVER or now - pipe.eased < self.late + SETTLE:
                 continue
             pipe.eased = now
-            held = [
-                vw
-                for vw in self.viewings.values()
-                if vw.playing and vw.streamer and pipe in (vw.streamer.link, vw.streamer.rack)
-            ]
+            held = [vw for vw in self.viewings.values()
+                    if vw.playing and vw.streamer and pipe in (vw.streamer.link, vw.streamer.rack)]
             # Each step costs the viewer: all that one viewing gives up goes in a single step.
             goal, stepped = pipe.own * MARK / use, {}
             while pipe.own > goal and (down := [vw for vw in held if vw.rung > vw.package.floor]):
