The host takes up a viewing of an earlier process: adopted, an input of the record

A restart must be able to control again what plays on. The viewing counts for seats and links, is raised, cut and ended as any other, and gets no second answer; at a streamer that is not listed it is torn down. Replays the same.

--- a/herongap/host/host.py
+++ b/herongap/host/host.py
@@ -14,6 +14,7 @@
 from herongap.interface import Asked, Charter, Ending, Listed, Load, Standing
 from herongap.rules import Controller
 
+COUNTS = ("asked", "plays", "blocked", "aborted", "gone", "tune_ins", "late", "adopted")
 TEAR_DOWN = 2.0  # seconds that a streamer has to confirm a teardown before the viewing counts as gone anyway
 
 
@@ -36,7 +37,7 @@
         self.port, self.recorder = port, recorder
         self.lives: dict[Id, Life] = {}
         self.standing: dict[Id, Standing] = {}
-        self.counts = dict.fromkeys(("asked", "plays", "blocked", "aborted", "gone", "tune_ins", "late"), 0)
+        self.counts = dict.fromkeys(COUNTS, 0)
         self._due: list[tuple] = []
         self._armed = float("inf")
         if recorder:
@@ -88,6 +89,26 @@
         self._pump(now)
         return True
 
+    def adopted(self, now: float, ask: Asked, number: int, streamer: Id, rung: int) -> bool:
+        """A viewing of this controller's earlier process plays on: it is held and controlled again.
+
+        Its answer was given then; `number` is that of the tune-in that plays. False, and it is torn down
+        there, where the streamer is not on the list: nothing could be decided about it.
+        """
+        self._enter(now, "adopted", ask, number, streamer, rung)
+        if ask.viewing in self.lives:
+            raise ValueError(f"viewing {ask.viewing} is held already")
+        if streamer not in self.module.streamers:
+            self.port.tear_down(ask.viewing, number, streamer, False)
+            self._pump(now)
+            return False
+        self.lives[ask.viewing] = Life.adopted(ask, now, number, streamer, rung)
+        self.counts["adopted"] += 1
+        self.module.handed(now, ask, streamer)
+        self.module.rung_told(now, ask.viewing, rung)
+        self._pump(now)
+        return True
+
     def ended(self, now: float, viewing: Id, number: int, how: Ending, load: Load | None = None) -> None:
         """A tune-in that was out, or the viewing that it started, ended; what is over already is passed
         over.
--- a/herongap/host/life.py
+++ b/herongap/host/life.py
@@ -59,6 +59,14 @@
         self.tune_ins, self.streamer, self.sent_at = 0, None, now
         self.rung, self.cause = 0, None
 
+    @classmethod
+    def adopted(cls, ask: Asked, now: float, number: int, streamer, rung: int) -> "Life":
+        """One that plays already, and whose viewer was told so by an earlier process."""
+        life = cls(ask, now)
+        life.state, life.answer = State.PLAYING, Answer("plays")
+        life.tune_ins, life.streamer, life.rung = number + 1, streamer, rung
+        return life
+
     @property
     def number(self) -> int:
         """The number of the newest tune-in, -1 before the first."""
--- a/herongap/host/record.py
+++ b/herongap/host/record.py
@@ -21,6 +21,7 @@
     "listed": (str, tuple[Listed, ...]),
     "asked": (Asked,),
     "started": (Id, int, Id, Load | None),
+    "adopted": (Asked, int, Id, int),
     "ended": (Id, int, Ending, Load | None),
     "left": (Id,),
     "torn_down": (Id, int),
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from helpers import ask, charter, controller, streamer
+from helpers import NEWS, ask, charter, controller, streamer
 
 from herongap.host import Again, Answer, Host, Recorder, Repeats, State, Torn, replay
 from herongap.host.replay import explain
@@ -97,6 +97,30 @@
     assert sent(port)[0] == 3
 
 
+def test_a_viewing_of_an_earlier_process_is_taken_up_with_its_seat_and_controlled():
+    record = []
+    seats = NEWS._replace(seats=1)
+    host, port = hosted(record, packages=(seats,))
+    assert host.adopted(1.0, ask(1), 2, 10, 1)
+    life = host.lives[1]
+    assert (life.state, life.number, life.streamer, life.rung) == (State.PLAYING, 2, 10, 1)
+    assert 1 not in port.answers, "its answer was given by the process before"
+    host.asked(1.1, ask(2, left=0.5))
+    host.woke(1.7)
+    assert port.answers[2].verdict == "blocked", "its seat is taken"
+    host.load_told(2.0, 10, False, None, 0.05)
+    host.load_told(9.0, 10, False, None, 0.05)
+    assert ("set_rung", 1, 2, 10, 2) in port.effects, "it is raised as any other"
+    host.ended(9.5, 1, 2, Ending.PLAYED)
+    host.asked(9.6, ask(3))
+    assert port.last("tune_in")[1].viewing == 3 and host.counts["adopted"] == 1
+    assert not host.adopted(10.0, ask(4), 0, 99, 0)
+    assert ("tear_down", 4, 0, 99, False) in port.effects and 4 not in host.lives
+    assert replay(record)[2] is None
+    with pytest.raises(ValueError):
+        host.adopted(11.0, ask(3), 0, 10, 0)
+
+
 def test_a_list_that_shrinks_to_nothing_blocks_and_recovers():
     host, port = hosted()
     host.listed(1.0, "whole", ())
