--- a/herongap/daemon/door.py
+++ b/herongap/daemon/door.py
@@ -120,7 +120,9 @@
 
     def _take(self, wish: Wish, peer: Peer) -> Session:
         p = self.packages[wish.package]
-        viewing = f"v{self.site.front.number}-{next(self._ids)}"
+        # With a journal each process has ids of its own: those of the one before may still play.
+        process = f".{self.port.journal.boot}" if self.port.journal else ""
+        viewing = f"v{self.site.front.number}{process}-{next(self._ids)}"
         session = Session(
             viewing,
             secrets.token_urlsafe(18),
@@ -129,6 +131,8 @@
             wish.media_type,
             wish.offer,
             wish.owner,
+            wish.key,
+            wish.digest,
         )
         self.port.sessions[viewing] = session
         self.repeats.take(wish.key, wish.digest, viewing)
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -15,6 +15,8 @@
 from herongap.daemon.etcd import Feed
 from herongap.daemon.feed import Watched, epoch
 from herongap.daemon.front import Front
+from herongap.daemon.journal import Journal
+from herongap.daemon.recovery import Recovery
 from herongap.daemon.streamers import Streamers
 from herongap.daemon.wire import Address, Peer, Server, listen
 from herongap.host import Host, Recorder, State
@@ -37,9 +39,14 @@
         # A restarted front is another one to streamers: what the old one held there must not pass for its
         # own.
         self.name = f"herongap-{site.front.number}-{time.time_ns() // 1_000_000}"
+        self.journal = Journal(site.front.journal, self.name) if site.front.journal else None
+        if self.journal:
+            # What it left at streamers is still its own.
+            self.name = self.journal.name
         self.intake = Intake(site.bounds)
         targets = {name: getattr(site.streamers, name) for name in ("whep", "whip", "dash")}
         self.port = Streamers(self.name, site.connect, targets, clock)
+        self.port.journal = self.journal
         self.record = self._open_record()
         recorder = Recorder(self.record.write) if self.record else None
         self.host = Host(clock(), site.front.seed, site.charter, self.port, recorder, make)
@@ -76,6 +83,9 @@
         if dash:
             dash.load()
         self.front = Front(self.door, dash)
+        recovery = Recovery(self.journal, self.door, self.front.secrets) if self.journal else None
+        if recovery:
+            recovery.begin()
         host, _, port = site.front.listen.rpartition(":")
         self.server = Server(listen((host, int(port))), self.front.handle, site.bounds, self.intake)
         if site.front.metrics:
@@ -85,6 +95,8 @@
         self._greenlets = [gevent.spawn(run) for run in runs]
         # With etcd a front listens before it has a list: it starts on what it remembers, or blocks.
         self._greenlets += self.feed.start() if self.feed else [gevent.spawn(self.list.run)]
+        if recovery:
+            self._greenlets.append(gevent.spawn(recovery.run))
         log.info("listening", address="{}:{}".format(*self.address), name=self.name)
 
     def stop(self) -> None:
@@ -116,6 +128,9 @@
         for greenlet in self._greenlets:
             greenlet.kill(block=False)
         self.port.close()
+        if self.journal:
+            self.journal.close()
+            self.port.journal = None
         if self.record:
             self.record.close()
             self.host.recorder = None
--- a/herongap/daemon/session.py
+++ b/herongap/daemon/session.py
@@ -61,6 +61,8 @@
     media_type: str
     offer: bytes
     owner: str | None
+    key: tuple = ()
+    digest: str = ""
     done: Event = field(default_factory=Event)
     answer: Answer | None = None
     remote: Remote | None = None
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -11,12 +11,14 @@
 import structlog
 
 from herongap.daemon.events import Follower
+from herongap.daemon.journal import Entry, Journal
 from herongap.daemon.session import Remote, Session, read_remote
 from herongap.daemon.wire import Address, Call, Pool
 from herongap.host import Answer, Host
 from herongap.http import Reply
 from herongap.interface import Asked, Ending, Load
 from herongap.orca import HEADER, read_load
+from herongap.state import Known
 from herongap.whep import write_layer
 
 Id = int | str
@@ -38,6 +40,7 @@
         self.pools: dict[Address, Pool] = {}
         self.followers: dict[tuple[Id, str], Follower] = {}
         self.on_over = lambda session, answer: None
+        self.journal: Journal | None = None
         self.due, self._woken = float("inf"), gevent.event.Event()
 
     # The port.
@@ -52,6 +55,7 @@
             time_out=round(time_out, 3),
         )
         self.calls[ask.viewing, number] = None
+        self._keep(ask.viewing, Known.SENT)
         gevent.spawn(self._tune_in, ask, number, streamer, rung, time_out)
 
     def call_off(self, viewing: Id, number: int, streamer: Id) -> None:
@@ -61,11 +65,14 @@
     def set_rung(self, viewing: Id, number: int, streamer: Id, rung: int) -> None:
         session = self.sessions[viewing]
         session.rung = rung
+        self._keep(viewing, Known.PLAYING)
         if not session.setting:
             session.setting = True
             gevent.spawn(self._set_rung, session, number)
 
     def tear_down(self, viewing: Id, number: int, streamer: Id, wanted: bool) -> None:
+        if wanted:
+            self._keep(viewing, Known.CLOSING)
         gevent.spawn(self._tear_down, viewing, number, streamer, wanted)
 
     def answer(self, viewing: Id, answer: Answer) -> None:
@@ -79,8 +86,17 @@
         )
         session.answer = answer
         if answer.verdict != "plays":
-            del self.sessions[viewing]
-            self.on_over(session, False)
+            self.forget(session, played=False)
+            return
+        self._keep(viewing, Known.PLAYING)
+        session.done.set()
+
+    def forget(self, session: Session, played: bool = True) -> None:
+        """A session that is answered and not held: whoever waits for it is told."""
+        del self.sessions[session.viewing]
+        if self.journal:
+            self.journal.drop(session.viewing)
+        self.on_over(session, played)
         session.done.set()
 
     def over(self, viewing: Id, how: Ending) -> None:
@@ -93,6 +109,8 @@
             )
             if session.remote:
                 self._unfollow(session.remote)
+            if self.journal:
+                self.journal.drop(viewing)
             self.on_over(session, True)
             session.closed.set()
 
@@ -109,6 +127,19 @@
         self.due = at
         self._woken.set()
 
+    def _keep(self, viewing: Id, known: Known) -> None:
+        """Write a viewing down, before the effect that depends on it."""
+        if self.journal is None or (session := self.sessions.get(viewing)) is None:
+            return
+        life = self.host.lives[viewing]
+        remote = list(session.remote) if session.remote else None
+        self.journal.put(
+            Entry(
+                known, life.ask, life.number, life.streamer, life.rung, session.protocol, session.secret,
+                session.owner, list(session.key), session.digest, remote,
+            )
+        )  # fmt: skip
+
     # The one timer.
 
     def run(self) -> None:
@@ -263,6 +294,10 @@
 
     # Event streams: one for each address that streamers name, shared by the viewings that name it.
 
+    def follow_events(self, remote: Remote) -> None:
+        """Hear what the streamer of a session says of it."""
+        self._follow(remote)
+
     def _follow(self, remote: Remote) -> None:
         key = remote.streamer, remote.events
         if remote.events and key not in self.followers:
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -67,6 +67,7 @@
     linger: Seconds = 1.0
     remember: Seconds = 60.0
     record: str = ""
+    journal: str = ""
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     log_format: Literal["json", "console"] = "console"
     log_to: str = "-"
@@ -409,7 +410,7 @@
     near = path.resolve().parent
     files = {
         key: str(near / value)
-        for key in ("record", "log_to")
+        for key in ("record", "log_to", "journal")
         if (value := getattr(front, key)) not in ("", "-")
     }
     return Site(
