--- a/herongap/cli/serve.py
+++ b/herongap/cli/serve.py
@@ -107,7 +107,7 @@
 
     The first line of output tells where it listens. Titles "1" to "20" are served at /whep/TITLE,
     /whip/TITLE and /dash/TITLE, without credentials. No media flows: WHEP and WHIP are signalling alone, DASH
-    segments are as many bytes as they would be, a hundredth of them, and all zero.
+    segments are a thousandth of the bytes that they would be, and all zero.
     """
     from herongap.standins import Farm, Kind, Streamer
     from herongap.standins.farm import Log
