--- a/herongap/cli/lists.py
+++ b/herongap/cli/lists.py
@@ -92,11 +92,11 @@
 
 
 def _known(address: str) -> dict:
-    from herongap.daemon.etcd import NETWORK, reached
-    from herongap.daemon.wire import Pool
+    from herongap.daemon.etcd import NETWORK
+    from herongap.daemon.wire import call_once, read_address
 
     try:
-        return json.loads(Pool(reached(address), 1.0).call("GET", "/list", (), b"", 3.0).body)
+        return json.loads(call_once(read_address(address), "GET", "/list", time_out=3.0).body)
     except (*NETWORK, ValueError) as fault:
         click.echo(f"the controller at {address} does not answer: {fault!r}", err=True)
         sys.exit(2)
--- a/herongap/daemon/dash.py
+++ b/herongap/daemon/dash.py
@@ -60,6 +60,7 @@
         self.lines: OrderedDict[str, Line] = OrderedDict()
         self.by_key: dict[tuple, Line] = {}
         self._loaded = 0.0
+        self._videos = tuple(Video(rate) for rate in door.site.charter.ladder)
         self._update = min(terms.update, terms.token / 2)
 
     def load(self) -> None:
@@ -86,8 +87,6 @@
     # Lines.
 
     def _first(self, title: str, request: Request, peer: Peer) -> Reply:
-        if self.door.intake.swamped():
-            return problem("overloaded", headers=[("Retry-After", "1")])
         if isinstance(known := self.door.knock("dash", title, request), Reply):
             return known
         owner, package, holders = known
@@ -210,12 +209,11 @@
         return Reply(200, told, body)
 
     def _asset(self, title: str) -> Asset:
-        videos = tuple(Video(rate) for rate in self.door.site.charter.ladder)
         recorded = self.door.catalogue.lengths.get(title)
         if recorded is None:
             # A live title's segments are counted from the epoch, so that all fronts count alike.
-            return Asset(videos, self.terms.segment, began=0.0)
-        return Asset(videos, self.terms.segment, length=recorded)
+            return Asset(self._videos, self.terms.segment, began=0.0)
+        return Asset(self._videos, self.terms.segment, length=recorded)
 
     def _reported(self, request: Request) -> dict:
         return read_cmcd(request.query.get("CMCD"), request.headers)
--- a/herongap/daemon/door.py
+++ b/herongap/daemon/door.py
@@ -92,6 +92,8 @@
 
     def knock(self, protocol: str, title: str, request: Request) -> tuple | Reply:
         """The owner, the package and the holders of a request for a title, or the reply that refuses it."""
+        if self.intake.swamped():
+            return problem("overloaded", headers=[("Retry-After", "1")])
         if isinstance(owner := self.caller(request), Reply):
             return owner
         if isinstance(package := self._package(protocol, request, owner), Reply):
--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -1,14 +1,14 @@
 """The gevent client of etcd: carries between sockets and the machines of `herongap.etcd`, which decide."""
 
-import time
 from collections.abc import Callable
 
 import gevent
 import h11
 import structlog
 
+from herongap.daemon.feed import epoch
 from herongap.daemon.remembered import Remembered
-from herongap.daemon.wire import Address, Call, Hung, Pool
+from herongap.daemon.wire import Call, Hung, Pool, read_address
 from herongap.etcd import Directory, Endpoints, Follower, Frames, Membership, Need, Refused, Step, Told
 from herongap.etcd import messages as m
 from herongap.etcd.keys import changed_value
@@ -27,27 +27,31 @@
         self.terms, self.name, self.token = terms, name, ""
         self.pools: dict[str, Pool] = {}
 
-    def headers(self) -> list[tuple[str, str]]:
+    def headers(self, address: str) -> list[tuple[str, str]]:
+        """The headers of any request, with a token made there if one is needed and missing."""
+        if self.terms.user and not self.token:
+            self._authenticate(address)
+        return self._headers()
+
+    def _headers(self) -> list[tuple[str, str]]:
         told = [("User-Agent", self.name), ("Content-Type", "application/json")]
         return told + ([("Authorization", self.token)] if self.token else [])
 
     def call(self, address: str, path: str, body: bytes, kind: type):
         """One request; raises OSError, Refused or Garbled. An expired token is made anew, once."""
-        if self.terms.user and not self.token:
-            self._authenticate(address)
         try:
-            return self._call(address, path, body, kind)
+            return self._call(address, path, body, kind, self.headers(address))
         except Refused as fault:
             if fault.code != m.UNAUTHENTICATED or not self.terms.user:
                 raise
-        self._authenticate(address)
-        return self._call(address, path, body, kind)
+        self.forget_token()
+        return self._call(address, path, body, kind, self.headers(address))
 
-    def _call(self, address: str, path: str, body: bytes, kind: type):
+    def _call(self, address: str, path: str, body: bytes, kind: type, headers: list[tuple[str, str]]):
         pool = self.pools.get(address)
         if pool is None:
-            pool = self.pools[address] = Pool(reached(address), self.terms.connect)
-        reply = pool.call("POST", path, self.headers(), body, self.terms.time_out)
+            pool = self.pools[address] = Pool(read_address(address), self.terms.connect)
+        reply = pool.call("POST", path, headers, body, self.terms.time_out)
         if reply.status != 200:
             raise m.refusal(reply.body)
         return m.read(reply.body, kind)
@@ -56,20 +60,14 @@
         self.token = ""
 
     def _authenticate(self, address: str) -> None:
-        self.token = ""
         body = m.authenticate_body(self.terms.user, self.terms.secret())
-        self.token = self._call(address, "/v3/auth/authenticate", body, m.Token).token
+        self.token = self._call(address, "/v3/auth/authenticate", body, m.Token, self._headers()).token
 
     def close(self) -> None:
         for pool in self.pools.values():
             pool.close()
 
 
-def reached(address: str) -> Address:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class Feed:
     """The list of streamers over etcd, for one controller.
 
@@ -84,7 +82,7 @@
         self.client = Client(terms, name)
         self.endpoints = Endpoints(terms.endpoints, seed)
         self.follower = Follower()
-        self.directory = Directory(terms.prefix, clock() - time.time())
+        self.directory = Directory(terms.prefix, epoch(clock))
         self.membership = Membership(number, expected, terms.ttl)
         self.key = f"{terms.prefix}controllers/{number}"
         self.store = Remembered(terms.remembered) if terms.remembered else None
@@ -172,12 +170,11 @@
 
     def _watch(self, address: str) -> None:
         turn, start = self.follower.watch_from()
-        if self.terms.user and not self.client.token:
-            self.client._authenticate(address)
-        call = self._stream = Call(reached(address), self.terms.connect)
+        headers = self.client.headers(address)
+        call = self._stream = Call(read_address(address), self.terms.connect)
         frames = Frames()
         try:
-            call.send("POST", "/v3/watch", self.client.headers(), m.watch_body(self.terms.prefix, start))
+            call.send("POST", "/v3/watch", headers, m.watch_body(self.terms.prefix, start))
             head = call.head(self.clock() + self.terms.time_out)
             if head.status != 200:
                 raise m.refusal(b"".join(call.chunks(self.terms.time_out)))
--- a/herongap/daemon/front.py
+++ b/herongap/daemon/front.py
@@ -34,8 +34,6 @@
             return reply
         if len(path) == 2 and path[0] in ("whip", "whep") and path[1]:
             if request.method == "POST":
-                if self.door.intake.swamped():
-                    return problem("overloaded", headers=[("Retry-After", "1")])
                 return self._post(path[0], path[1], request, peer)
             if request.method == "OPTIONS":
                 return Reply(200, OPTIONS_HEADERS)
--- a/herongap/daemon/journal.py
+++ b/herongap/daemon/journal.py
@@ -18,6 +18,7 @@
 import msgspec
 import structlog
 
+from herongap.daemon.aside import put_aside
 from herongap.interface import Asked
 from herongap.state import Known
 
@@ -83,11 +84,8 @@
             cause = f"format {bytes(found)!r}, known is {FORMAT}"
         except lmdb.Error as fault:
             cause = repr(fault)
-        # Put aside for people to look at; the front starts without it.
         folder = os.path.join(self.path, "viewings")
-        aside = next(name for i in range(1000) if not os.path.exists(name := f"{folder}.bad-{i}"))
-        os.rename(folder, aside)
-        log.error("journal not read, put aside", path=aside, cause=cause)
+        log.error("journal not read, put aside", path=put_aside(folder), cause=cause)
         return lmdb.open(folder, map_size=MOST, sync=False)
 
     def _meta(self, key: str) -> str | None:
--- a/herongap/daemon/recovery.py
+++ b/herongap/daemon/recovery.py
@@ -77,9 +77,7 @@
             # Not answered to the last: told to let go should it live, for nobody here controls it any more.
             self.port.remotes[viewing, entry.number] = session.remote
             self.port.tear_down(viewing, entry.number, entry.streamer, False)
-        self.told["gone" if fate is Fate.GONE else "ended"] += 1
-        session.answer = Answer("aborted", cause=Ending.BROKEN)
-        self.port.forget(session)
+        self._let_go(session, "gone" if fate is Fate.GONE else "ended")
 
     def _there(self, session: Session) -> bool | None:
         if session.remote is None:
@@ -97,11 +95,14 @@
         self.port.remotes[viewing, entry.number] = remote
         ask = entry.ask._replace(holders=frozenset(entry.ask.holders))
         if not self.host.adopted(self.door.clock(), ask, entry.number, entry.streamer, entry.rung):
-            self.told["ended"] += 1
-            session.answer = Answer("aborted", cause=Ending.BROKEN)
-            self.port.forget(session)
+            self._let_go(session, "ended")
             return
         self.told["adopted"] += 1
         session.answer = Answer("plays")
         session.done.set()
         self.port.follow_events(remote)
+
+    def _let_go(self, session: Session, how: str) -> None:
+        self.told[how] += 1
+        session.answer = Answer("aborted", cause=Ending.BROKEN)
+        self.port.forget(session)
--- a/herongap/daemon/remembered.py
+++ b/herongap/daemon/remembered.py
@@ -14,6 +14,7 @@
 import msgspec
 import structlog
 
+from herongap.daemon.aside import put_aside
 from herongap.etcd.follower import Item
 
 FORMAT = 1
@@ -87,9 +88,8 @@
 
     def _put_aside(self, fault: Exception) -> None:
         self.close()
-        aside = next(name for i in range(1000) if not os.path.exists(name := f"{self.path}.bad-{i}"))
         try:
-            os.rename(self.path, aside)
+            aside = put_aside(self.path)
         except OSError as worse:
             log.error("remembered list not read", path=self.path, cause=repr(fault), and_then=repr(worse))
             return
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -18,7 +18,7 @@
 from herongap.daemon.journal import Journal
 from herongap.daemon.recovery import Recovery
 from herongap.daemon.streamers import Streamers
-from herongap.daemon.wire import Address, Peer, Server, listen
+from herongap.daemon.wire import Address, Peer, Server, listen, read_address
 from herongap.host import Host, Recorder, State
 from herongap.http import Reply, Request, problem
 from herongap.ini import Site, read_catalogue, read_list
@@ -86,11 +86,11 @@
         recovery = Recovery(self.journal, self.door, self.front.secrets) if self.journal else None
         if recovery:
             recovery.begin()
-        host, _, port = site.front.listen.rpartition(":")
-        self.server = Server(listen((host, int(port))), self.front.handle, site.bounds, self.intake)
+        self.server = Server(
+            listen(read_address(site.front.listen)), self.front.handle, site.bounds, self.intake
+        )
         if site.front.metrics:
-            host, _, port = site.front.metrics.rpartition(":")
-            self.metrics = Server(listen((host, int(port))), self._scraped, site.bounds)
+            self.metrics = Server(listen(read_address(site.front.metrics)), self._scraped, site.bounds)
         runs = (self.port.run, self.titles.run, self._beat, self._feel)
         self._greenlets = [gevent.spawn(run) for run in runs]
         # With etcd a front listens before it has a list: it starts on what it remembers, or blocks.
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -92,27 +92,25 @@
         session.done.set()
 
     def forget(self, session: Session, played: bool = True) -> None:
-        """A session that is answered and not held: whoever waits for it is told."""
+        """A session that is answered and held no more: whoever waits for its answer or its end is told."""
         del self.sessions[session.viewing]
         if self.journal:
             self.journal.drop(session.viewing)
         self.on_over(session, played)
         session.done.set()
+        session.closed.set()
 
     def over(self, viewing: Id, how: Ending) -> None:
-        if session := self.sessions.pop(viewing, None):
+        if session := self.sessions.get(viewing):
             log.info(
                 "ended",
                 viewing=viewing,
                 streamer=session.remote and session.remote.streamer,
                 cause=how.name.lower(),
             )
+            self.forget(session)
             if session.remote:
                 self._unfollow(session.remote)
-            if self.journal:
-                self.journal.drop(viewing)
-            self.on_over(session, True)
-            session.closed.set()
 
     def probe(self, streamer: Id) -> None:
         gevent.spawn(self._probe, streamer)
@@ -190,7 +188,7 @@
                 self.remotes[key] = session.remote = remote
                 how = None
                 if self.host.started(self.clock(), viewing, number, streamer, load):
-                    self._follow(remote)
+                    self.follow_events(remote)
                 else:
                     log.info("late", viewing=viewing, streamer=streamer, number=number)
             self._pool(self.addresses[streamer]).keep(call)
@@ -296,9 +294,6 @@
 
     def follow_events(self, remote: Remote) -> None:
         """Hear what the streamer of a session says of it."""
-        self._follow(remote)
-
-    def _follow(self, remote: Remote) -> None:
         key = remote.streamer, remote.events
         if remote.events and key not in self.followers:
             self.followers[key] = Follower(
--- a/herongap/daemon/wire.py
+++ b/herongap/daemon/wire.py
@@ -304,6 +304,23 @@
             self.sock.close()
 
 
+def read_address(text: str) -> Address:
+    """An address as files and logs write it, HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def call_once(address: Address, method: str, target: str, headers=(), body: bytes = b"", time_out=5.0,
+              connect=1.0) -> Reply:  # fmt: skip
+    """One request on a connection of its own, and its reply; raises as `Call` does."""
+    call = Call(address, connect)
+    try:
+        call.send(method, target, headers, body)
+        return call.receive(time_out)
+    finally:
+        call.close()
+
+
 class Pool:
     """Idle connections to one address, for requests that do no harm when sent twice (PATCH of a rung,
     DELETE).
--- a/herongap/sdp/answer.py
+++ b/herongap/sdp/answer.py
@@ -44,13 +44,7 @@
                 "rtp": [chosen],
                 "fmtp": [f for f in media.get("fmtp", ()) if f["payload"] == chosen["payload"]],
                 "direction": direction,
-                "rtcpMux": "rtcp-mux",
-                "setup": "passive",
-                "iceUfrag": me.ufrag,
-                "icePwd": me.pwd,
-                "fingerprint": {"type": "sha-256", "hash": me.fingerprint},
-                "candidates": [_candidate(me)],
-                "endOfCandidates": "end-of-candidates",
+                **_transport(me, "passive"),
                 **(
                     {"ssrcs": [{"id": me.session % (1 << 32), "attribute": "cname", "value": "herongap"}]}
                     if direction == "sendonly"
@@ -63,6 +57,19 @@
     return _write(me, sections, mids, icelite="ice-lite")
 
 
+def _transport(me: Endpoint, setup: str) -> dict:
+    """How this endpoint is reached: one candidate, all there will be, and who begins DTLS (RFC 8842)."""
+    return {
+        "rtcpMux": "rtcp-mux",
+        "setup": setup,
+        "iceUfrag": me.ufrag,
+        "icePwd": me.pwd,
+        "fingerprint": {"type": "sha-256", "hash": me.fingerprint},
+        "candidates": [_candidate(me)],
+        "endOfCandidates": "end-of-candidates",
+    }
+
+
 def offer(me: Endpoint, direction: str) -> str:
     """An offer of one audio and one video section, "recvonly" or "sendonly"."""
     rtp = {
@@ -82,13 +89,7 @@
                 "rtp": codecs,
                 "fmtp": [],
                 "direction": direction,
-                "rtcpMux": "rtcp-mux",
-                "setup": "actpass",
-                "iceUfrag": me.ufrag,
-                "icePwd": me.pwd,
-                "fingerprint": {"type": "sha-256", "hash": me.fingerprint},
-                "candidates": [_candidate(me)],
-                "endOfCandidates": "end-of-candidates",
+                **_transport(me, "actpass"),
             }
         )
     return _write(me, sections, ["0", "1"], iceOptions="trickle")
--- a/herongap/standins/player.py
+++ b/herongap/standins/player.py
@@ -14,7 +14,7 @@
 import gevent
 import h11
 
-from herongap.daemon.wire import Address, Call, Pool
+from herongap.daemon.wire import Address, Pool, call_once
 from herongap.http import Reply, kind_of
 
 NS = "{urn:mpeg:dash:schema:mpd:2011}"
@@ -85,12 +85,7 @@
     def _fetch(self, target: str, patience: float) -> Reply | None:
         began, reply, kind = self.clock(), None, ""
         try:
-            call = Call(self.front, 1.0)
-            try:
-                call.send("GET", target, self.headers)
-                reply = call.receive(patience)
-            finally:
-                call.close()
+            reply = call_once(self.front, "GET", target, self.headers, time_out=patience)
         except TimeoutError:
             kind = "gave-up"
         except NETWORK as fault:
@@ -205,11 +200,6 @@
     def delete(self) -> int:
         """End the session; the status, 0 where none came."""
         try:
-            call = Call(self.front, 1.0)
-            try:
-                call.send("DELETE", self.location, self.headers)
-                return call.receive(5.0).status
-            finally:
-                call.close()
+            return call_once(self.front, "DELETE", self.location, self.headers).status
         except NETWORK:
             return 0
--- a/herongap/standins/segments.py
+++ b/herongap/standins/segments.py
@@ -12,7 +12,7 @@
 import h11
 from gevent.lock import RLock
 
-from herongap.daemon.wire import Address, Call, Hung, Peer
+from herongap.daemon.wire import Address, Hung, Peer, call_once
 from herongap.dash import Checker, Refusal, read_cmcd
 from herongap.http import Reply, Request, problem
 
@@ -104,15 +104,9 @@
             return any(self._fetch_from(address) for address in self.fronts)
 
     def _fetch_from(self, address: Address) -> bool:
-        call = None
         try:
-            call = Call(address, 0.5)
-            call.send("GET", KEYS)
-            self.checker.learn(json.loads(call.receive(2.0).body))
+            self.checker.learn(json.loads(call_once(address, "GET", KEYS, time_out=2.0, connect=0.5).body))
             return True
         except (OSError, h11.ProtocolError, ValueError) as fault:
             self.streamer.log(self.streamer.name, "keys-not-read", cause=repr(fault)[:80])
             return False
-        finally:
-            if call:
-                call.close()
--- a/herongap/standins/viewer.py
+++ b/herongap/standins/viewer.py
@@ -10,7 +10,7 @@
 import sdp_transform
 from gevent import socket
 
-from herongap.daemon.wire import Address, Call
+from herongap.daemon.wire import Address, Call, call_once
 from herongap.http import FRAGMENT, SDP, Reply, kind_of
 from herongap.sdp import Endpoint, Fragment, offer
 from herongap.sdp.fragment import write_fragment
@@ -107,12 +107,8 @@
 
     def call(self, method: str, headers=(), body: bytes = b"", target: str | None = None) -> Reply:
         """Any other request to the front."""
-        call = Call(self.front, 2.0)
-        try:
-            call.send(method, self.location if target is None else target, [*self.headers, *headers], body)
-            return call.receive(5.0)
-        finally:
-            call.close()
+        target = self.location if target is None else target
+        return call_once(self.front, method, target, [*self.headers, *headers], body, connect=2.0)
 
     def trickle(self, tag: str | None = None) -> Reply:
         fragment = Fragment(self.me.ufrag, self.me.pwd, (("0", "1 1 udp 1 127.0.0.1 9 typ host"),), False)
