A streamer's URL is read in one place; the benchmarks share a front's file

The list file and the keys of etcd each read http://HOST:PORT in their own way, with the same words for a bad one; two benchmarks carried the same front's file and kind of streamer; what a viewer wants was logged in two places.

--- a/benchmarks/dash.py
+++ b/benchmarks/dash.py
@@ -14,6 +14,7 @@
 import time
 from pathlib import Path
 
+import common
 import gevent
 import numpy as np
 
@@ -24,37 +25,19 @@
 from herongap.http import Reply
 from herongap.ini import read_site
 from herongap.intake import Bounds
-from herongap.standins import Farm, Kind, Streamer, Viewer
+from herongap.standins import Farm, Streamer, Viewer
 from herongap.standins.farm import Log
 from herongap.standins.player import Player
 
-INI = """
-[front]
-listen = 127.0.0.1:0
-log_level = error
-[limits]
-pace = 100000
-burst = 100000
-connections_a_peer = 100000
-[ladder]
-rates = 100, 300, 900
-values = 0.3, 0.6, 1.0
-[package standard]
-join_target = 1.5
-patience = 4
+INI = (
+    common.INI
+    + """
+[streamers]
+list = streamers.json
 [package web]
 protocol = dash
 join_target = 1.5
 patience = 4
-[links]
-per_weight = 100000
-rack = 1000000
-[places]
-std = 1000
-[streamers]
-list = streamers.json
-[catalogue]
-file = catalogue.json
 [dash]
 keys = keys
 segment = 0.5
@@ -63,7 +46,8 @@
 rotate = {rotate}
 ahead = {ahead}
 """
-KIND = Kind((100.0, 300.0, 900.0), (0.3, 0.6, 1.0), 1e5, 1e6, 1000, set_up=(0.0, 0.0))
+)
+KIND = common.KIND._replace(set_up=(0.0, 0.0))
 
 
 class Bench:
--- a/benchmarks/etcd.py
+++ b/benchmarks/etcd.py
@@ -19,6 +19,7 @@
 import time
 from pathlib import Path
 
+import common
 import gevent
 import numpy as np
 from minicheck import check_liveness, check_safety
@@ -30,36 +31,18 @@
 from herongap.ini import read_site
 from herongap.ini.site import Etcd as Terms
 from herongap.rehearsal.stage import PREFIX
-from herongap.standins import Farm, Kind, Streamer, Viewer
+from herongap.standins import Farm, Streamer, Viewer
 from herongap.standins.etcd import Etcd, fill, put
 from herongap.standins.farm import Log
 
 GRACE = 0.25
-INI = """
-[front]
-listen = 127.0.0.1:0
-log_level = error
-[limits]
-pace = 100000
-burst = 100000
-connections_a_peer = 100000
-[ladder]
-rates = 100, 300, 900
-values = 0.3, 0.6, 1.0
-[package standard]
-join_target = 1.5
-patience = 4
-[links]
-per_weight = 100000
-rack = 1000000
-[places]
-std = 1000
+INI = (
+    common.INI
+    + """
 [etcd]
 endpoints = {endpoints}
-[catalogue]
-file = catalogue.json
 """
-KIND = Kind((100.0, 300.0, 900.0), (0.3, 0.6, 1.0), 1e5, 1e6, 1000, set_up=(0.001, 0.01))
+)
 
 
 def wait(true, seconds=30.0) -> None:
@@ -90,7 +73,7 @@
     lines, marks = [], []
     started = time.monotonic()
     etcd = Etcd(3, time.monotonic, lambda who, what, **d: marks.append((time.monotonic(), what, d)))
-    farm = Farm(KIND, Log(lambda line: lines.append(json.loads(line))), seed=1)
+    farm = Farm(common.KIND, Log(lambda line: lines.append(json.loads(line))), seed=1)
     streamers = [Streamer(farm, f"s{i}", "", f"r{i % 4}") for i in range(16)]
     values = {st.name: {"url": "http://{}:{}".format(*st.address)} for st in streamers}
     fill(etcd.history, PREFIX, values)
--- a/herongap/etcd/keys.py
+++ b/herongap/etcd/keys.py
@@ -9,10 +9,11 @@
 """
 
 from typing import Annotated
-from urllib.parse import urlsplit
 
 import msgspec
 
+from herongap.http import read_url
+
 VERSION = 1
 
 
@@ -34,8 +35,7 @@
 
     @property
     def address(self) -> tuple[str, int]:
-        parts = urlsplit(self.url)
-        return parts.hostname, parts.port
+        return read_url(self.url)
 
 
 class DrainValue(msgspec.Struct, omit_defaults=True):
@@ -71,12 +71,9 @@
         raise Bad(f"version {found.v}, known is {VERSION}")
     if kind == "streamers":
         try:
-            parts = urlsplit(found.url)
-            usable = parts.scheme == "http" and parts.hostname and parts.port
-        except ValueError:
-            usable = False
-        if not usable:
-            raise Bad(f"url {found.url!r} is not http://HOST:PORT")
+            read_url(found.url)
+        except ValueError as fault:
+            raise Bad(str(fault)) from fault
     return found
 
 
--- a/herongap/http.py
+++ b/herongap/http.py
@@ -102,6 +102,17 @@
     return named.removeprefix(URN) if isinstance(named, str) else ""
 
 
+def read_url(url: str) -> tuple[str, int]:
+    """Host and port of a streamer's URL; raises ValueError for any other than http://HOST:PORT."""
+    try:
+        parts = urlsplit(url)
+        if parts.scheme == "http" and parts.hostname and parts.port:
+            return parts.hostname, parts.port
+    except ValueError:
+        pass
+    raise ValueError(f"url {url!r} is not http://HOST:PORT")
+
+
 class Target(NamedTuple):
     """One target of a Link header (RFC 8288)."""
 
--- a/herongap/ini/files.py
+++ b/herongap/ini/files.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Collection
 from typing import Annotated, Literal
-from urllib.parse import urlsplit
 
 import msgspec
 
+from herongap.http import read_url
 from herongap.interface import Listed, Standing
 
 
@@ -54,12 +54,13 @@
     entries = msgspec.json.decode(data, type=List).streamers
     lines, addresses = [], {}
     for e in entries:
-        parts = urlsplit(e.url)
-        if parts.scheme != "http" or not parts.hostname or not parts.port:
-            raise ValueError(f"streamer {e.id}: url {e.url!r} is not http://HOST:PORT")
+        try:
+            address = read_url(e.url)
+        except ValueError as fault:
+            raise ValueError(f"streamer {e.id}: {fault}") from fault
         if e.id in addresses:
             raise ValueError(f"streamer {e.id} is listed twice")
-        addresses[e.id] = parts.hostname, parts.port
+        addresses[e.id] = address
         started = None if e.started is None else e.started + epoch
         lines.append(
             Listed(
--- a/herongap/rehearsal/stage.py
+++ b/herongap/rehearsal/stage.py
@@ -248,6 +248,8 @@
 
     def _live(self, arrival: Arrival) -> None:
         draw = random.Random(f"viewer {arrival.name} {self.seed}")
+        self.log(arrival.name, "wants", package=arrival.package, title=arrival.title, seconds=arrival.length,
+                 top=arrival.top)  # fmt: skip
         # Who may come by several protocols is of one kind or another by its name, in every play alike.
         protocols = self.day.packages[arrival.package].protocol
         protocol = protocols[zlib.crc32(arrival.name.encode()) % len(protocols)]
@@ -257,8 +259,6 @@
         target = f"/{protocol}/{arrival.title}?package={arrival.package}&top={arrival.top}"
         direction = "recvonly" if protocol == "whep" else "sendonly"
         viewer = Viewer(arrival.name, ("", 0), target, self.log, self.seed, direction=direction)
-        self.log(arrival.name, "wants", package=arrival.package, title=arrival.title, seconds=arrival.length,
-                 top=arrival.top)  # fmt: skip
         left = arrival.length
         for _ in range(self.day.clients.tries):
             viewer.front = self._choose(arrival, draw)
@@ -290,8 +290,6 @@
         """A DASH player's part: it comes again as others do, to another front where its own is gone."""
         target = f"/dash/{arrival.title}?package={arrival.package}&top={arrival.top}"
         player = Player(arrival.name, ("", 0), target, self.log, self.seed)
-        self.log(arrival.name, "wants", package=arrival.package, title=arrival.title, seconds=arrival.length,
-                 top=arrival.top)  # fmt: skip
         patience, end = self.day.packages[arrival.package].patience, time.monotonic() + arrival.length
         for _ in range(self.day.clients.tries):
             front = self._choose(arrival, draw)
