A controller on the platform's protocol: lines, resolver, configuration, and a gevent shell

Change: herongap/platform (lines, messages, roster, launch, charter; no I/O), herongap/node (the gevent shell over herongap/host), herongap/crowd.py (which connections of viewers are kept).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .PHONY: demo test
 PYTHON ?= python3
 
-.venv-ci/made: requirements.txt requirements-fleet.txt requirements-front.txt requirements-dev.txt pyproject.toml
+.venv-ci/made: requirements.txt requirements-node.txt requirements-fleet.txt requirements-front.txt requirements-dev.txt pyproject.toml
 	rm -rf .venv-ci
 	$(PYTHON) -m venv .venv-ci
 	.venv-ci/bin/pip install -q --disable-pip-version-check -r requirements-dev.txt
--- a/benchmarks/dash.py
+++ b/benchmarks/dash.py
@@ -19,8 +19,9 @@
 import numpy as np
 
 from herongap import observe
+from herongap.daemon.listen import listen
 from herongap.daemon.run import Daemon
-from herongap.daemon.wire import Pool, Server, listen
+from herongap.daemon.wire import Pool, Server
 from herongap.dash import Checker, Grant, mint, new_key, published
 from herongap.http import Reply
 from herongap.ini import read_site
--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -10,8 +10,9 @@
 import h11
 from gevent.event import Event
 
+from herongap.daemon.listen import listen
 from herongap.daemon.session import read_remote
-from herongap.daemon.wire import Call, Pool, Server, listen
+from herongap.daemon.wire import Call, Pool, Server
 from herongap.http import SDP, Reply, problem
 from herongap.ini import read_list, read_site
 from herongap.whip import check_offer, created
--- a/herongap/benchlink/link.py
+++ b/herongap/benchlink/link.py
@@ -4,6 +4,7 @@
 
 from herongap.benchlink import codec
 from herongap.interface import Ending
+from herongap.platform.charter import charter
 from herongap.rules import Controller
 
 KINDS = {"Partial": "changes", "Complete": "whole", "Persisted": "remembered", "Error": "failed"}
@@ -93,7 +94,7 @@
         if name == "Spawn":
             info = f["Conf"]["FamilyInfo"]
             self.shapes[who] = int(info["Places"]), max(1, int(info["Racks"]))
-            return ("__init__", f["Seed"], codec.charter(f["Conf"]))
+            return ("__init__", f["Seed"], charter(f["Conf"]))
         if name == "Retire":
             return None
         if who not in self.hosted:
--- a/herongap/cli/lists.py
+++ b/herongap/cli/lists.py
@@ -93,7 +93,8 @@
 
 def _known(address: str) -> dict:
     from herongap.daemon.etcd import NETWORK
-    from herongap.daemon.wire import call_once, read_address
+    from herongap.daemon.listen import read_address
+    from herongap.daemon.wire import call_once
 
     try:
         return json.loads(call_once(read_address(address), "GET", "/list", time_out=3.0).body)
--- /dev/null
+++ b/herongap/crowd.py
@@ -0,0 +1,66 @@
+"""Which connections of viewers a controller keeps: the process's own limits, decided without I/O.
+
+A descriptor held by somebody who says nothing is one that a viewer cannot have. These limits protect the
+process, before any viewing exists; what becomes of a viewing is the module's.
+"""
+
+from collections.abc import Callable, Hashable, Iterator
+from typing import NamedTuple
+
+MUTE = 2.0  # seconds in which a new connection must have said something, and a line must have ended
+
+
+class Known(NamedTuple):
+    """One connection: when it came and last said something of use, its set-ups that wait for an answer."""
+
+    since: float
+    spoke: float | None
+    waiting: int
+
+
+class Crowd:
+    """All viewers' connections; `most` are kept."""
+
+    def __init__(self, most: int):
+        self.most = most
+        self.known: dict[Hashable, Known] = {}
+        self.shed = 0
+
+    def came(self, now: float, who: Hashable) -> list:
+        """One more connection; those to be closed for it: mute ones first, then those longest without use."""
+        self.known[who] = Known(now, None, 0)
+        over = len(self.known) - self.most
+        if over <= 0:
+            return []
+        idle = [(k.spoke is not None, k.spoke or k.since, i, w)
+                for i, (w, k) in enumerate(self.known.items()) if not k.waiting and w is not who]  # fmt: skip
+        victims = [w for *_, w in sorted(idle)[:over]] or [who]
+        for victim in victims:
+            del self.known[victim]
+        self.shed += len(victims)
+        return victims
+
+    def spoke(self, now: float, who: Hashable) -> None:
+        """It said something that only a viewer's side says."""
+        if known := self.known.get(who):
+            self.known[who] = known._replace(spoke=now)
+
+    def took(self, who: Hashable) -> None:
+        """A set-up of its waits for an answer."""
+        if known := self.known.get(who):
+            self.known[who] = known._replace(waiting=known.waiting + 1)
+
+    def settled(self, who: Hashable) -> None:
+        """One of its set-ups has its answer."""
+        if known := self.known.get(who):
+            self.known[who] = known._replace(waiting=max(0, known.waiting - 1))
+
+    def went(self, who: Hashable) -> None:
+        self.known.pop(who, None)
+
+    def overdue(self, now: float, begun: Callable[[Hashable], bool]) -> Iterator:
+        """Those that said nothing for too long since they came, or `begun` a line and left it so."""
+        for who, known in list(self.known.items()):
+            if now - (known.spoke or known.since) > MUTE and (known.spoke is None or begun(who)):
+                del self.known[who]
+                yield who
--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -7,8 +7,9 @@
 import structlog
 
 from herongap.daemon.feed import epoch
+from herongap.daemon.listen import read_address
 from herongap.daemon.remembered import Remembered
-from herongap.daemon.wire import Call, Hung, Pool, read_address
+from herongap.daemon.wire import Call, Hung, Pool
 from herongap.etcd import Directory, Endpoints, Follower, Frames, Membership, Need, Refused, Step, Told
 from herongap.etcd import messages as m
 from herongap.etcd.keys import changed_value
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -16,9 +16,10 @@
 from herongap.daemon.feed import Watched, epoch
 from herongap.daemon.front import Front
 from herongap.daemon.journal import Journal
+from herongap.daemon.listen import Address, listen, read_address
 from herongap.daemon.recovery import Recovery
 from herongap.daemon.streamers import Streamers
-from herongap.daemon.wire import Address, Peer, Server, listen, read_address
+from herongap.daemon.wire import Peer, Server
 from herongap.host import Host, Recorder, State
 from herongap.http import Reply, Request, problem
 from herongap.ini import Site, read_catalogue, read_list
--- a/herongap/daemon/wire.py
+++ b/herongap/daemon/wire.py
@@ -16,11 +16,10 @@
 from gevent.event import Event
 from gevent.hub import get_hub
 
+from herongap.daemon.listen import Address
 from herongap.http import Reply, Request, problem
 from herongap.intake import Bounds
 
-Address = tuple[str, int]
-
 
 class Hung(Exception):
     """The peer hung up, or was too slow; nothing can be said to it."""
@@ -212,15 +211,6 @@
                 break
 
 
-def listen(address: Address) -> socket.socket:
-    """A listening socket; port 0 picks a free one."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(plain.SOL_SOCKET, plain.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.listen(1024)
-    return sock
-
-
 class Call:
     """One request to a streamer on a connection of its own or an idle one."""
 
@@ -304,12 +294,6 @@
             self.sock.close()
 
 
-def read_address(text: str) -> Address:
-    """An address as files and logs write it, HOST:PORT."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 def call_once(address: Address, method: str, target: str, headers=(), body: bytes = b"", time_out=5.0,
               connect=1.0) -> Reply:  # fmt: skip
     """One request on a connection of its own, and its reply; raises as `Call` does."""
--- a/herongap/host/host.py
+++ b/herongap/host/host.py
@@ -148,6 +148,14 @@
             self.module.share_told(now, streamer, share)
         self._pump(now)
 
+    def rung_told(self, now: float, viewing: Id, rung: int) -> None:
+        """A streamer told the rung at which it plays a viewing; one that is not held is passed over."""
+        self._enter(now, "rung_told", viewing, rung)
+        if life := self.lives.get(viewing):
+            life.rung = rung
+            self.module.rung_told(now, viewing, rung)
+        self._pump(now)
+
     def load_told(self, now: float, streamer: Id, uplink: bool, viewing: Id | None, ratio: float) -> None:
         """A streamer told what is asked of its link (or its rack's uplink) over what that gives."""
         self._enter(now, "load_told", streamer, uplink, viewing, ratio)
--- a/herongap/host/record.py
+++ b/herongap/host/record.py
@@ -26,6 +26,7 @@
     "left": (Id,),
     "torn_down": (Id, int),
     "share_told": (Id, float),
+    "rung_told": (Id, int),
     "load_told": (Id, bool, Id | None, float),
     "probed": (Id, Ending, float, Load | None),
     "counted": (int | None, int),
--- /dev/null
+++ b/herongap/node/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's controller: gevent sockets that only carry between its protocol and the host."""
--- /dev/null
+++ b/herongap/node/run.py
@@ -0,0 +1,117 @@
+"""One controller on the platform put together: host, port, viewers, resolver, signals, and an orderly end."""
+
+import os
+import signal
+import time
+
+import gevent
+import structlog
+from gevent.event import Event
+
+from herongap.crowd import Crowd
+from herongap.daemon.listen import listen
+from herongap.host import Host
+from herongap.node.resolver import Resolver
+from herongap.node.streamers import Streamers
+from herongap.node.viewers import Viewers
+from herongap.platform.launch import Fault, Launch, read
+from herongap.platform.roster import Roster
+
+TEND = 0.25  # seconds between two looks at what has gone quiet
+LISTEN_ON = 0.75  # seconds after SIGTERM for which new set-ups are taken
+log = structlog.get_logger()
+
+
+def unix_clock():
+    """The system's Unix clock, which never steps back after the start.
+
+    Controllers share the slots of cold streamers by it, and starts of streamers are told in it.
+    """
+    base = time.time() - time.monotonic()
+    return lambda: base + time.monotonic()
+
+
+class Node:
+    """A controller from its configuration to its end."""
+
+    def __init__(self, path: str, clock=None):
+        self.path, self.clock = path, clock or unix_clock()
+        self.launch = load(path)
+        launch = self.launch
+        self.port = Streamers(launch.connect, self.clock)
+        now = self.clock()
+        self.host = Host(now, launch.seed, launch.charter, self.port)
+        self.port.host = self.host
+        self.viewers = self.port.viewers = Viewers(launch, self.host, Crowd(launch.sockets // 2), self.clock)
+        self.resolver = Resolver(launch.resolver, launch.seed, launch.racks, launch.known.serial, self._told)
+        self.stopped, self.stopping = Event(), False
+
+    def start(self) -> None:
+        """Listen; raises OSError."""
+        self._take("remembered", self.launch.known)
+        listener = listen(self.launch.listen)
+        self.viewers.ready = True
+        for run, *args in (
+            (self.port.run,), (self.resolver.run,), (self._tend,), (self.viewers.accept, listener)
+        ):  # fmt: skip
+            gevent.spawn(run, *args)
+        log.info("ready", name=self.launch.name, streamers=len(self.launch.known.lines), pid=os.getpid())
+
+    def reload(self) -> None:
+        """Take the configuration's new resolver; a file that cannot be used changes nothing."""
+        try:
+            launch = load(self.path)
+        except (OSError, Fault) as fault:
+            log.error("configuration not taken, all stays as it was", cause=str(fault))
+            return
+        self.resolver.address = launch.resolver
+        self.resolver.nudge.set()
+        log.info("reloaded", resolver="{}:{}".format(*launch.resolver))
+
+    def stop(self) -> None:
+        """Take what still comes, answer all that was taken, then end."""
+        if self.stopping:
+            return
+        self.stopping = True
+        log.info("stopping", held=len(self.host.lives))
+        gevent.sleep(LISTEN_ON)
+        self.viewers.stop()
+        until = self.clock() + self.launch.longest
+        while self.clock() < until and any(not held.answered for held in self.viewers.held.values()):
+            gevent.sleep(0.02)
+        log.info("stopped", left=len(self.host.lives), **self.host.counts)
+        self.stopped.set()
+
+    def _told(self, roster: Roster) -> None:
+        before = self.host.standing
+        now = {name: line.standing for name, line in roster.lines.items()}
+        changed = {n: s.name.lower() for n, s in now.items() if before.get(n) is not s}
+        log.info("list", serial=roster.serial, streamers=len(now), changed=changed,
+                 left=sorted(set(before) - set(now)))  # fmt: skip
+        self._take("whole", roster)
+
+    def _take(self, kind: str, roster: Roster) -> None:
+        self.port.listed(roster.addresses)
+        self.host.listed(self.clock(), kind, roster.lines.values())
+
+    def _tend(self) -> None:
+        while True:
+            gevent.sleep(TEND)
+            self.viewers.tend()
+            self.port.tend()
+
+
+def load(path: str) -> Launch:
+    """The configuration at `path`; raises OSError or Fault."""
+    with open(path, "rb") as file:
+        return read(file.read())
+
+
+def run(path: str) -> None:
+    """Run the controller that the file at `path` describes, until SIGTERM or SIGINT."""
+    node = Node(path)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, lambda: gevent.spawn(node.stop))
+    gevent.signal_handler(signal.SIGHUP, node.reload)
+    node.start()
+    node.stopped.wait()
--- /dev/null
+++ b/herongap/node/streamers.py
@@ -0,0 +1,352 @@
+"""The port of the host: its decisions as messages to streamers and viewers, and what streamers say back.
+
+A connection carries one set-up at a time. What spoils it, or breaks it, then harms no other viewing.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from itertools import count
+
+import gevent
+import structlog
+from gevent import socket
+
+from herongap.host import Answer, Host, State
+from herongap.host.pulse import Pulse, Word
+from herongap.interface import Asked, Ending, Load
+from herongap.node.wire import Wire
+from herongap.platform import messages
+from herongap.platform.messages import Message, Unfit, Unreadable
+
+Address = tuple[str, int]
+log = structlog.get_logger()
+SPARE = 2  # idle connections to one streamer that are kept
+STALE = 10.0  # seconds after which an idle one beyond that is closed
+LATE = 15.0  # seconds for which the answer to a tune-in given up is known for what it is
+
+
+class Out:
+    """A tune-in that is out: on its wire, or waiting for one."""
+
+    __slots__ = ("ask", "number", "rung", "until", "wire")
+
+    def __init__(self, ask: Asked, number: int, rung: int, until: float):
+        self.ask, self.number, self.rung, self.until, self.wire = ask, number, rung, until, None
+
+
+class Far:
+    """One streamer as its sockets show it."""
+
+    def __init__(self, name: str, address: Address, now: float):
+        self.name, self.address, self.pulse = name, address, Pulse(now)
+        self.wires: dict[Wire, Out | None] = {}  # each with the set-up that it carries
+        self.spoke: dict[Wire, float] = {}
+        self.owed: list[bytes] = []
+        self.connecting = 0
+        self.told_silent = False
+        self.gone = False
+
+    def idle(self) -> Wire | None:
+        """The free connection that spoke last."""
+        free = [wire for wire, out in self.wires.items() if out is None and wire in self.spoke]
+        return max(free, key=self.spoke.__getitem__, default=None)
+
+
+class Streamers:
+    """Carries between the host and the streamers. `viewers` gets what is for viewers."""
+
+    def __init__(self, connect: float, clock: Callable[[], float]):
+        self.connect, self.clock = connect, clock
+        self.host: Host | None = None
+        self.viewers = None
+        self.fars: dict[str, Far] = {}
+        self.outs: dict[tuple[str, str], Out] = {}
+        self.given_up: dict[tuple[str, str], float] = {}
+        self.due, self._woken = float("inf"), gevent.event.Event()
+        self._tests = count(1)
+        self.probes: dict[str, tuple[str, float]] = {}
+
+    # What the list says of addresses.
+
+    def listed(self, addresses: dict[str, Address]) -> None:
+        """Where each streamer of the newest list listens. One that has gone is kept while it plays for us."""
+        now = self.clock()
+        for name, address in addresses.items():
+            if name not in self.fars or self.fars[name].address != address:
+                self.fars[name] = Far(name, address, now)
+        for name, far in self.fars.items():
+            far.gone = name not in addresses
+
+    # The port.
+
+    def tune_in(self, ask: Asked, number: int, streamer: str, rung: int, time_out: float) -> None:
+        out = self.outs[streamer, ask.viewing] = Out(ask, number, rung, self.clock() + time_out)
+        far = self.fars[streamer]
+        while wire := far.idle():
+            if wire.stands():
+                self._send(far, wire, out)
+                return
+            far.spoke.pop(wire, None)
+        gevent.spawn(self._reach, far, out)
+
+    def call_off(self, viewing: str, number: int, streamer: str) -> None:
+        if out := self.outs.pop((streamer, viewing), None):
+            self._take_back(self.fars[streamer], out)
+
+    def set_rung(self, viewing: str, number: int, streamer: str, rung: int) -> None:
+        self._say(self.fars[streamer], messages.step(viewing, rung))
+
+    def tear_down(self, viewing: str, number: int, streamer: str, wanted: bool) -> None:
+        if far := self.fars.get(streamer):
+            self._say(far, messages.down(viewing, messages.ENDED))
+        if wanted:
+            self.viewers.moved(viewing)
+
+    def answer(self, viewing: str, answer: Answer) -> None:
+        self.viewers.answer(viewing, answer)
+
+    def over(self, viewing: str, how: Ending) -> None:
+        self.viewers.over(viewing, how)
+
+    def probe(self, streamer: str) -> None:
+        ref = f"{next(self._tests):016x}"
+        self.probes[ref] = streamer, self.clock()
+        self._say(self.fars[streamer], messages.hb(ref))
+
+    def follow(self) -> None:
+        """The resolver is asked from the start."""
+
+    def tell(self, peer: int, words: bytes) -> None:
+        log.warning("no way to controllers", peer=peer)
+
+    def wake(self, at: float) -> None:
+        self.due = at
+        self._woken.set()
+
+    def run(self) -> None:
+        """Wake the host whenever it asked to be; never returns."""
+        while True:
+            self._woken.clear()
+            left = self.due - self.clock()
+            if left > 0:
+                self._woken.wait(None if left == float("inf") else left)
+                continue
+            self.due = float("inf")
+            self.host.woke(self.clock())
+
+    # Connections.
+
+    def _open(self, far: Far, time_out: float) -> Wire:
+        """A new connection; raises OSError."""
+        far.connecting += 1
+        try:
+            sock = socket.create_connection(far.address, timeout=time_out)
+        finally:
+            far.connecting -= 1
+        sock.settimeout(None)
+        wire = Wire(sock, far.name, self._heard, self._lost)
+        far.wires[wire], far.spoke[wire] = None, self.clock()
+        wire.far = far
+        far.pulse.broken = None
+        owed, far.owed = far.owed, []
+        for message in owed:
+            wire.send(message)
+        return wire
+
+    def _reach(self, far: Far, out: Out) -> None:
+        key = far.name, out.ask.viewing
+        try:
+            wire = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
+        except OSError as fault:
+            if self.outs.get(key) is out:
+                del self.outs[key]
+                log.info("streamer not reached", streamer=far.name, cause=str(fault))
+                self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.UNREACHED)
+            return
+        if self.outs.get(key) is not out:
+            return
+        if not self.host.sendable(out.ask.viewing, out.number):
+            # Its drain was heard while the connection came up: it never left, and the streamer is sound.
+            del self.outs[key]
+            self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.FULL, Load())
+            return
+        self._send(far, wire, out)
+
+    def _send(self, far: Far, wire: Wire, out: Out) -> None:
+        left = out.until - self.clock()
+        out.wire, far.wires[wire] = wire, out
+        # Whether a write that failed reached its reader nobody knows: the wire's end tells the host.
+        wire.send(messages.set_up(out.ask, out.rung, left, self.viewers.description(out.ask.viewing)))
+
+    def _say(self, far: Far, message: bytes) -> None:
+        """Something that concerns no set-up that is out: on any connection, else on the next."""
+        wire = max(far.spoke, key=far.spoke.__getitem__, default=None)
+        if wire is None or not wire.send(message):
+            far.owed.append(message)
+            self._need(far)
+
+    def _need(self, far: Far) -> None:
+        if not far.connecting:
+            far.connecting += 1
+            gevent.spawn(self._again, far)
+
+    def _again(self, far: Far) -> None:
+        far.connecting -= 1
+        try:
+            self._open(far, self.connect)
+        except TimeoutError:
+            return
+        except OSError as fault:
+            if far.pulse.broke(self.clock(), False):
+                self._gone(far, str(fault))
+
+    def _take_back(self, far: Far, out: Out) -> None:
+        if wire := out.wire:
+            wire.send(messages.down(out.ask.viewing, messages.ENDED))
+            self.given_up[far.name, out.ask.viewing] = self.clock() + LATE
+            # It bears the next set-up once it has shown that it lives.
+            far.spoke.pop(wire, None)
+            if far.wires.get(wire) is out:
+                far.wires[wire] = None
+
+    def _lost(self, wire: Wire) -> None:
+        far = wire.far
+        out = far.wires.pop(wire, None)
+        far.spoke.pop(wire, None)
+        key = out and (far.name, out.ask.viewing)
+        if out and self.outs.get(key) is out:
+            del self.outs[key]
+            log.info("connection lost under a tune-in", streamer=far.name, cause=wire.cause)
+            # It may have run, and may play there to nobody.
+            far.owed.append(messages.down(out.ask.viewing, messages.ENDED))
+            self.given_up[key] = self.clock() + LATE
+            self._need(far)
+            self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.BROKEN)
+
+    def _gone(self, far: Far, cause: str) -> None:
+        """A streamer's process is gone, and all that it played with it."""
+        held = self.host.held(far.name)
+        if held:
+            log.warning("streamer lost", streamer=far.name, viewings=len(held), cause=cause)
+        far.owed.clear()
+        for viewing, number in held:
+            self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
+
+    def tend(self) -> None:
+        """Once in a short while: are the streamers that play for us still there?"""
+        now = self.clock()
+        held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
+        for name, far in list(self.fars.items()):
+            self._prune(far, now)
+            if not held[name]:
+                if far.gone and not any(far.wires.values()):
+                    for wire in list(far.wires):
+                        wire.close()
+                    del self.fars[name]
+                far.pulse.spoke(now)
+                far.told_silent = False
+                continue
+            if not far.wires:
+                self._need(far)
+            else:
+                for wire in far.wires:
+                    wire.send(messages.hb(f"{next(self._tests):016x}"))
+            word = far.pulse.word(now)
+            if word is Word.LOST:
+                self._gone(far, "silent")
+                for wire in list(far.wires):
+                    wire.close("silent")
+                far.pulse.spoke(now)
+            elif word is Word.SILENT and not far.told_silent:
+                far.told_silent = True
+                self.host.share_told(now, name, 0.0)
+        for key in [key for key, until in self.given_up.items() if until <= now]:
+            del self.given_up[key]
+        for ref in [ref for ref, (_, at) in self.probes.items() if now - at > 0.5]:
+            streamer, at = self.probes.pop(ref)
+            self.host.probed(now, streamer, Ending.TIMED_OUT, now - at, None)
+
+    def _prune(self, far: Far, now: float) -> None:
+        free = sorted(
+            (at, id(wire), wire) for wire, at in far.spoke.items() if far.wires.get(wire, True) is None
+        )
+        for at, _, wire in free[: max(0, len(free) - SPARE)]:
+            if now - at > STALE:
+                wire.close()
+
+    # What streamers say.
+
+    def _heard(self, wire: Wire, line: bytes) -> None:
+        far: Far = wire.far
+        try:
+            m = messages.read(line)
+            now = self.clock()
+            far.spoke[wire] = now
+            far.pulse.spoke(now)
+            far.told_silent = False
+            match m.t:
+                case "up":
+                    self._started(far, wire, m)
+                case "down":
+                    self._ended(far, wire, m)
+                case "tell":
+                    self._note(far, m)
+                case "hb_ok":
+                    if probe := self.probes.pop(m.ref, None):
+                        how = Ending.PLAYED if m.c else Ending.FAULTY
+                        self.host.probed(now, probe[0], how, now - probe[1], messages.load(m))
+                case "wait" | "ack":
+                    pass
+                case _:
+                    raise Unreadable(f"unknown message {m.t!r:.20}")
+        except (Unreadable, Unfit) as fault:
+            # What follows cannot be told apart from noise any more.
+            log.warning("streamer not understood", streamer=far.name, cause=str(fault)[:120])
+            far.spoke.pop(wire, None)
+            wire.close(str(fault))
+
+    def _started(self, far: Far, wire: Wire, m: Message) -> None:
+        key = far.name, m.ref
+        if not m.d:
+            raise Unfit("an answer without a description")
+        out = self.outs.get(key)
+        if out is not None and out.wire is wire:
+            load = messages.load(m)
+            del self.outs[key]
+            far.wires[wire] = None
+            self.viewers.answered(m.ref, m.d)
+            if not self.host.started(self.clock(), m.ref, out.number, far.name, load):
+                log.info("late answer", streamer=far.name, viewing=m.ref)
+        elif self.given_up.pop(key, None):
+            # It plays there to nobody.
+            wire.send(messages.down(m.ref, messages.ENDED))
+
+    def _ended(self, far: Far, wire: Wire, m: Message) -> None:
+        key = far.name, m.ref
+        load = messages.load(m)
+        if (out := self.outs.get(key)) is not None:
+            if out.wire is wire:
+                del self.outs[key]
+                far.wires[wire] = None
+                how = messages.BEFORE.get(m.c, Ending.BROKEN)
+                self.host.ended(self.clock(), m.ref, out.number, how, load)
+            return
+        life = self.host.lives.get(m.ref)
+        if life is None or life.streamer != far.name:
+            return
+        if life.state is State.PLAYING:
+            how = messages.AFTER.get(m.c, Ending.BROKEN)
+            self.host.ended(self.clock(), m.ref, life.number, how, load)
+            wire.send(messages.ack(m.ref))
+        elif life.state is State.CLOSING:
+            self.host.torn_down(self.clock(), m.ref, life.number)
+
+    def _note(self, far: Far, m: Message) -> None:
+        name, value = messages.note(m)
+        now = self.clock()
+        if name == "served":
+            self.host.share_told(now, far.name, value)
+        elif name == "at_rung":
+            self.host.rung_told(now, m.ref, int(value))
+        else:
+            self.host.load_told(now, far.name, name == "rack_use", m.ref, value)
--- /dev/null
+++ b/herongap/node/viewers.py
@@ -0,0 +1,204 @@
+"""The viewers' side: connections on which set-ups come and answers leave. It carries; it decides nothing."""
+
+from collections.abc import Callable
+from contextlib import suppress
+
+import gevent
+import structlog
+
+from herongap.crowd import Crowd
+from herongap.host import Answer, Host
+from herongap.interface import Ending
+from herongap.node.wire import Wire
+from herongap.platform import messages
+from herongap.platform.launch import Launch
+from herongap.platform.messages import Message, Unfit, Unreadable
+
+log = structlog.get_logger()
+
+
+class Held:
+    """A viewing as its viewer's side has it: its connection, and the description until it plays."""
+
+    __slots__ = ("wire", "description", "answered", "mine")
+
+    def __init__(self, wire: Wire, description: str):
+        self.wire, self.description, self.answered, self.mine = wire, description, False, False
+
+
+class Viewers:
+    """All connections of viewers. `listener` is accepted from until `stop`."""
+
+    def __init__(self, launch: Launch, host: Host, crowd: Crowd, clock: Callable[[], float]):
+        self.launch, self.host, self.crowd, self.clock = launch, host, crowd, clock
+        self.held: dict[str, Held] = {}
+        self.owed: dict[str, tuple[float, bytes]] = {}
+        self.wires: set[Wire] = set()
+        self.trusted: dict[Wire, None] = {}  # on which viewings have stood, the newest last
+        self.ready = False
+        self.listener = None
+
+    def accept(self, listener) -> None:
+        self.listener = listener
+        while True:
+            try:
+                sock, peer = listener.accept()
+            except OSError as fault:
+                if listener.closed:
+                    return
+                # Out of descriptors: those that are held go on, and accepting is tried again.
+                log.error("not accepted", cause=str(fault))
+                gevent.sleep(0.1)
+                continue
+            wire = Wire(sock, peer[0], self._heard, self._lost)
+            self.wires.add(wire)
+            for victim in self.crowd.came(self.clock(), wire):
+                victim.close("shed")
+
+    def stop(self) -> None:
+        if self.listener:
+            with suppress(OSError):
+                self.listener.close()
+
+    def tend(self) -> None:
+        """Once in a short while: close what says nothing, drop what can no longer be told."""
+        now = self.clock()
+        for wire in self.crowd.overdue(now, lambda wire: wire.lines.begun):
+            wire.close("silent")
+        for ref in [ref for ref, (until, _) in self.owed.items() if until <= now]:
+            del self.owed[ref]
+
+    # What viewers say.
+
+    def _heard(self, wire: Wire, line: bytes) -> None:
+        try:
+            m = messages.read(line)
+            if m.t == "new":
+                self._new(wire, m)
+            elif m.t == "down":
+                self._down(wire, m)
+            elif m.t == "hb":
+                self._sound(wire)
+                wire.send(messages.hb_ok(m.ref[:64], self.ready))
+            elif m.t not in ("wait", "ack", "tell"):
+                raise Unreadable(f"unknown message {m.t!r:.20}")
+        except Unreadable as fault:
+            log.info("viewer not understood", peer=wire.peer, cause=str(fault)[:120])
+            wire.close(str(fault))
+
+    def _sound(self, wire: Wire) -> None:
+        self.crowd.spoke(self.clock(), wire)
+
+    def _new(self, wire: Wire, m: Message) -> None:
+        if not messages.NAMES.fullmatch(m.ref):
+            raise Unreadable("a set-up without an id")
+        held = self.held.get(m.ref)
+        try:
+            ask, at = messages.asked(m, self.launch.terms)
+            if at is not None:
+                self._handed(wire, m, ask, at)
+                return
+            if held is not None:
+                if held.wire is wire:
+                    raise Unreadable("an id that is open already")
+                raise Unfit("an id that is open elsewhere")
+            if not m.d:
+                raise Unfit("no description")
+        except Unfit as fault:
+            log.info("set-up refused", peer=wire.peer, cause=str(fault)[:120])
+            wire.send(messages.down(m.ref, messages.FAILED))
+            return
+        self._sound(wire)
+        now = self.clock()
+        self.crowd.took(wire)
+        self.held[m.ref] = Held(wire, m.d)
+        self.host.asked(now, ask._replace(left=max(0.0, ask.left - AHEAD)))
+
+    def _handed(self, wire: Wire, m: Message, ask, at: str) -> None:
+        if m.ref in self.held or m.ref in self.host.lives:
+            return
+        self._sound(wire)
+        held = self.held[m.ref] = Held(wire, "")
+        held.answered = True
+        self.trusted[wire] = None
+        floor = next(p.floor for p in self.launch.charter.packages if p.name == ask.package)
+        if not self.host.adopted(self.clock(), ask, 0, at, floor):
+            self.over(m.ref, Ending.BROKEN)
+
+    def _down(self, wire: Wire, m: Message) -> None:
+        self._sound(wire)
+        if (held := self.held.get(m.ref)) is None:
+            return
+        if not held.answered and held.wire is not wire:
+            return  # only whoever asked may take it back
+        held.mine = True
+        wire.send(messages.ack(m.ref))
+        self.host.left(self.clock(), m.ref)
+
+    def _lost(self, wire: Wire) -> None:
+        self.wires.discard(wire)
+        self.trusted.pop(wire, None)
+        self.crowd.went(wire)
+        for ref in [ref for ref, held in self.held.items() if held.wire is wire]:
+            if self.held[ref].answered:
+                self.held[ref].wire = None  # a viewing that stands belongs to no connection
+            else:
+                self.held[ref].mine = True
+                self.host.left(self.clock(), ref)
+
+    # What the host has for viewers.
+
+    def description(self, ref: str) -> str:
+        """What the viewer offered; "" once it plays."""
+        return self.held[ref].description
+
+    def answered(self, ref: str, description: str) -> None:
+        """What a streamer answered, to be passed on if the host takes it."""
+        if held := self.held.get(ref):
+            held.description = description
+
+    def answer(self, ref: str, answer: Answer) -> None:
+        held = self.held[ref]
+        self.crowd.settled(held.wire)
+        if answer.verdict == "plays":
+            held.answered = True
+            held.wire.send(messages.up(ref, held.description))
+            held.description = ""
+            self.trusted.pop(held.wire, None)
+            if not held.wire.closed:
+                self.trusted[held.wire] = None
+                self._pay(held.wire)
+            return
+        del self.held[ref]
+        if answer.verdict == "blocked":
+            held.wire.send(messages.down(ref, messages.REFUSED, answer.come_back))
+        elif answer.verdict == "aborted":
+            held.wire.send(messages.down(ref, messages.FAILED))
+
+    def moved(self, ref: str) -> None:
+        """The host takes a viewing off its streamer; unless its viewer ended it, that one comes again."""
+        held = self.held.get(ref)
+        if held and not held.mine:
+            held.mine = True
+            self._release(ref, held, messages.shift(ref))
+
+    def over(self, ref: str, how: Ending) -> None:
+        held = self.held.pop(ref, None)
+        if held and not held.mine and how is not Ending.CALLED_OFF:
+            cause = messages.ENDED if how is Ending.PLAYED else messages.CUT
+            self._release(ref, held, messages.down(ref, cause))
+
+    def _release(self, ref: str, held: Held, message: bytes) -> None:
+        for wire in (held.wire, *reversed(self.trusted)):
+            if wire is not None and wire.send(message):
+                return
+        # No way to its viewer's side is open: it goes with the next that opens.
+        self.owed[ref] = self.clock() + 8.0, message
+
+    def _pay(self, wire: Wire) -> None:
+        owed, self.owed = self.owed, {}
+        for _, message in owed.values():
+            wire.send(message)
+
+
+AHEAD = 0.06  # seconds by which an answer leaves before its viewer stops waiting
--- a/herongap/standins/streamer.py
+++ b/herongap/standins/streamer.py
@@ -10,7 +10,8 @@
 from gevent.event import Event
 from gevent.queue import Empty, Queue
 
-from herongap.daemon.wire import Hung, Peer, Server, listen
+from herongap.daemon.listen import listen
+from herongap.daemon.wire import Hung, Peer, Server
 from herongap.fleet.machine import Machine, Session
 from herongap.http import SDP, Reply, Request, link, problem
 from herongap.intake import Bounds
