A member's steady high rate is no flood; waiting viewings cost less; offers stay as sent

A probe of floods() alone: a steady 20 a second is flagged from 5.0 s for ever, 10 a second never: the usual rate begins at nothing and stands at a quarter of the rate when flags begin, and does not learn while flagged. To blame: floods(), last lines. It now learns over the time lived. Now counters, queues, and a look at all each 20 ms. Seen: 'not as its client sent it': a streamer's answer that the host finds late was kept as the offer. The shell: tests of a streamer only when it is quiet, a refused connection ends its viewings at once, connections shared when descriptors run short, set-ups turned away while the process is 0.15 s late.

--- a/herongap/crowd.py
+++ b/herongap/crowd.py
@@ -9,6 +9,8 @@
 
 MUTE = 2.0  # seconds in which a new connection must have said something, and a line must have ended
 
+LAG = 0.15  # seconds by which a process may come late to its own times before it turns set-ups away
+
 
 class Known(NamedTuple):
     """One connection: when it came and last said something of use, its set-ups that wait for an answer."""
@@ -25,6 +27,15 @@
         self.most = most
         self.known: dict[Hashable, Known] = {}
         self.shed = 0
+        self.behind = 0.0
+
+    def lagged(self, seconds: float) -> None:
+        """How late the process came to a thing it had set a time for: the worst counts, and fades."""
+        self.behind = max(seconds, 0.7 * self.behind)
+
+    def swamped(self) -> bool:
+        """Whether the process is so late that new set-ups would only make those late that it has taken."""
+        return self.behind > LAG
 
     def came(self, now: float, who: Hashable) -> list:
         """One more connection; those to be closed for it: mute ones first, then those longest without use."""
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -18,6 +18,8 @@
 from herongap.platform.roster import Roster
 
 TEND = 0.25  # seconds between two looks at what has gone quiet
+FIGURES = 5.0  # seconds between two lines of figures in the log
+LOOK = 0.05  # seconds between two looks at how late the process is
 LISTEN_ON = 0.75  # seconds after SIGTERM for which new set-ups are taken
 log = structlog.get_logger()
 
@@ -38,7 +40,7 @@
         self.path, self.clock = path, clock or unix_clock()
         self.launch = load(path)
         launch = self.launch
-        self.port = Streamers(launch.connect, self.clock)
+        self.port = Streamers(launch.connect, launch.sockets // 3, self.clock)
         now = self.clock()
         self.host = Host(now, launch.seed, launch.charter, self.port)
         self.port.host = self.host
@@ -51,10 +53,9 @@
         self._take("remembered", self.launch.known)
         listener = listen(self.launch.listen)
         self.viewers.ready = True
-        for run, *args in (
-            (self.port.run,), (self.resolver.run,), (self._tend,), (self.viewers.accept, listener)
-        ):  # fmt: skip
-            gevent.spawn(run, *args)
+        runs = (self.port.run, self.resolver.run, self._tend, self._feel)
+        self._greenlets = [gevent.spawn(run) for run in runs]
+        self._greenlets.append(gevent.spawn(self.viewers.accept, listener))
         log.info("ready", name=self.launch.name, streamers=len(self.launch.known.lines), pid=os.getpid())
 
     def reload(self) -> None:
@@ -82,6 +83,13 @@
         log.info("stopped", left=len(self.host.lives), **self.host.counts)
         self.stopped.set()
 
+    def close(self) -> None:
+        """Cut everything at once."""
+        self.viewers.stop()
+        gevent.killall(self._greenlets, block=False)
+        for wire in (*self.viewers.wires, *self.port.lines()):
+            wire.close()
+
     def _told(self, roster: Roster) -> None:
         before = self.host.standing
         now = {name: line.standing for name, line in roster.lines.items()}
@@ -94,11 +102,37 @@
         self.port.listed(roster.addresses)
         self.host.listed(self.clock(), kind, roster.lines.values())
 
+    def _feel(self) -> None:
+        """How late this process comes to what it has set itself a time for."""
+        while True:
+            due = self.clock() + LOOK
+            gevent.sleep(LOOK)
+            self.viewers.crowd.lagged(self.clock() - due)
+
     def _tend(self) -> None:
+        told = self.clock()
+        worst = 0.0
         while True:
+            due = self.clock() + TEND
             gevent.sleep(TEND)
-            self.viewers.tend()
-            self.port.tend()
+            worst = max(worst, self.clock() - due)
+            for tend in (self.viewers.tend, self.port.tend):
+                try:
+                    tend()
+                except Exception:
+                    log.exception("a fault of ours; the next look goes on")
+            if self.clock() - told >= FIGURES:
+                told = self.clock()
+                log.info(
+                    "figures",
+                    held=len(self.host.lives),
+                    viewers=len(self.viewers.wires),
+                    streamers=len(self.port.lines()),
+                    behind=round(worst, 3),
+                    cpu=round(time.process_time(), 2),
+                    **self.host.counts,
+                )
+                worst = 0.0
 
 
 def load(path: str) -> Launch:
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -22,16 +22,29 @@
 log = structlog.get_logger()
 SPARE = 2  # idle connections to one streamer that are kept
 STALE = 10.0  # seconds after which an idle one beyond that is closed
+QUIET = 0.4  # seconds without a word after which one that plays for us is tested
+DOUBT = 1.0  # seconds that a connection has to show that it lives
 LATE = 15.0  # seconds for which the answer to a tune-in given up is known for what it is
 
 
 class Out:
-    """A tune-in that is out: on its wire, or waiting for one."""
+    """A tune-in that is out: on its line, or waiting for one."""
 
-    __slots__ = ("ask", "number", "rung", "until", "wire")
+    __slots__ = ("ask", "number", "rung", "until", "line")
 
     def __init__(self, ask: Asked, number: int, rung: int, until: float):
-        self.ask, self.number, self.rung, self.until, self.wire = ask, number, rung, until, None
+        self.ask, self.number, self.rung, self.until, self.line = ask, number, rung, until, None
+
+
+class Line(Wire):
+    """A connection to a streamer, with the set-ups that it carries.
+
+    `doubted` is since when it may be dead, as a set-up on it had no answer; None once it has spoken again.
+    """
+
+    def __init__(self, sock, far: "Far", heard: Callable, lost: Callable, now: float):
+        self.far, self.outs, self.spoke, self.doubted = far, {}, now, None
+        super().__init__(sock, far.name, heard, lost)
 
 
 class Far:
@@ -39,24 +52,22 @@
 
     def __init__(self, name: str, address: Address, now: float):
         self.name, self.address, self.pulse = name, address, Pulse(now)
-        self.wires: dict[Wire, Out | None] = {}  # each with the set-up that it carries
-        self.spoke: dict[Wire, float] = {}
+        self.lines: set[Line] = set()
         self.owed: list[bytes] = []
         self.connecting = 0
-        self.told_silent = False
-        self.gone = False
+        self.told_silent = self.gone = False
 
-    def idle(self) -> Wire | None:
-        """The free connection that spoke last."""
-        free = [wire for wire, out in self.wires.items() if out is None and wire in self.spoke]
-        return max(free, key=self.spoke.__getitem__, default=None)
+    def best(self, free: bool) -> Line | None:
+        """The connection that spoke last among those not doubted, and `free` of set-ups if that is wanted."""
+        lines = [line for line in self.lines if line.doubted is None and not (free and line.outs)]
+        return max(lines, key=lambda line: line.spoke, default=None)
 
 
 class Streamers:
     """Carries between the host and the streamers. `viewers` gets what is for viewers."""
 
-    def __init__(self, connect: float, clock: Callable[[], float]):
-        self.connect, self.clock = connect, clock
+    def __init__(self, connect: float, most: int, clock: Callable[[], float]):
+        self.connect, self.most, self.clock = connect, most, clock
         self.host: Host | None = None
         self.viewers = None
         self.fars: dict[str, Far] = {}
@@ -82,13 +93,21 @@
     def tune_in(self, ask: Asked, number: int, streamer: str, rung: int, time_out: float) -> None:
         out = self.outs[streamer, ask.viewing] = Out(ask, number, rung, self.clock() + time_out)
         far = self.fars[streamer]
-        while wire := far.idle():
-            if wire.stands():
-                self._send(far, wire, out)
+        while line := far.best(free=self.room()):
+            if line.stands():
+                self._send(line, out)
                 return
-            far.spoke.pop(wire, None)
+            line.doubted = self.clock()
         gevent.spawn(self._reach, far, out)
 
+    def lines(self) -> list[Line]:
+        """All connections to streamers."""
+        return [line for far in self.fars.values() for line in far.lines]
+
+    def room(self) -> bool:
+        """Whether descriptors are left for a connection of its own to each set-up."""
+        return sum(len(far.lines) + far.connecting for far in self.fars.values()) < self.most
+
     def call_off(self, viewing: str, number: int, streamer: str) -> None:
         if out := self.outs.pop((streamer, viewing), None):
             self._take_back(self.fars[streamer], out)
@@ -109,7 +128,7 @@
         self.viewers.over(viewing, how)
 
     def probe(self, streamer: str) -> None:
-        ref = f"{next(self._tests):016x}"
+        ref = self._test()
         self.probes[ref] = streamer, self.clock()
         self._say(self.fars[streamer], messages.hb(ref))
 
@@ -136,7 +155,7 @@
 
     # Connections.
 
-    def _open(self, far: Far, time_out: float) -> Wire:
+    def _open(self, far: Far, time_out: float) -> Line:
         """A new connection; raises OSError."""
         far.connecting += 1
         try:
@@ -144,19 +163,18 @@
         finally:
             far.connecting -= 1
         sock.settimeout(None)
-        wire = Wire(sock, far.name, self._heard, self._lost)
-        far.wires[wire], far.spoke[wire] = None, self.clock()
-        wire.far = far
+        line = Line(sock, far, self._heard, self._lost, self.clock())
+        far.lines.add(line)
         far.pulse.broken = None
         owed, far.owed = far.owed, []
         for message in owed:
-            wire.send(message)
-        return wire
+            line.send(message)
+        return line
 
     def _reach(self, far: Far, out: Out) -> None:
         key = far.name, out.ask.viewing
         try:
-            wire = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
+            line = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
         except OSError as fault:
             if self.outs.get(key) is out:
                 del self.outs[key]
@@ -170,18 +188,18 @@
             del self.outs[key]
             self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.FULL, Load())
             return
-        self._send(far, wire, out)
+        self._send(line, out)
 
-    def _send(self, far: Far, wire: Wire, out: Out) -> None:
+    def _send(self, line: Line, out: Out) -> None:
         left = out.until - self.clock()
-        out.wire, far.wires[wire] = wire, out
-        # Whether a write that failed reached its reader nobody knows: the wire's end tells the host.
-        wire.send(messages.set_up(out.ask, out.rung, left, self.viewers.description(out.ask.viewing)))
+        out.line, line.outs[out.ask.viewing] = line, out
+        # Whether a write that failed reached its reader nobody knows: the line's end tells the host.
+        line.send(messages.set_up(out.ask, out.rung, left, self.viewers.description(out.ask.viewing)))
 
     def _say(self, far: Far, message: bytes) -> None:
         """Something that concerns no set-up that is out: on any connection, else on the next."""
-        wire = max(far.spoke, key=far.spoke.__getitem__, default=None)
-        if wire is None or not wire.send(message):
+        line = far.best(free=False)
+        if line is None or not line.send(message):
             far.owed.append(message)
             self._need(far)
 
@@ -194,29 +212,34 @@
         far.connecting -= 1
         try:
             self._open(far, self.connect)
-        except TimeoutError:
-            return
+        except ConnectionRefusedError:
+            # Its machine answers and nobody listens there: the process is gone, and what it played with it.
+            if far.pulse.broke(self.clock(), True):
+                self._gone(far, "refused")
         except OSError as fault:
-            if far.pulse.broke(self.clock(), False):
-                self._gone(far, str(fault))
+            log.debug("streamer not reached", streamer=far.name, cause=str(fault))
 
     def _take_back(self, far: Far, out: Out) -> None:
-        if wire := out.wire:
-            wire.send(messages.down(out.ask.viewing, messages.ENDED))
+        if (line := out.line) and line.outs.pop(out.ask.viewing, None):
+            line.send(messages.down(out.ask.viewing, messages.ENDED))
             self.given_up[far.name, out.ask.viewing] = self.clock() + LATE
-            # It bears the next set-up once it has shown that it lives.
-            far.spoke.pop(wire, None)
-            if far.wires.get(wire) is out:
-                far.wires[wire] = None
-
-    def _lost(self, wire: Wire) -> None:
-        far = wire.far
-        out = far.wires.pop(wire, None)
-        far.spoke.pop(wire, None)
-        key = out and (far.name, out.ask.viewing)
-        if out and self.outs.get(key) is out:
+            if line.doubted is None:
+                # It bears the next set-up once it has shown that it lives.
+                line.doubted = self.clock()
+                line.send(messages.hb(self._test()))
+
+    def _test(self) -> str:
+        return f"{next(self._tests):016x}"
+
+    def _lost(self, line: Line) -> None:
+        far = line.far
+        far.lines.discard(line)
+        for out in line.outs.values():
+            key = far.name, out.ask.viewing
+            if self.outs.get(key) is not out:
+                continue
             del self.outs[key]
-            log.info("connection lost under a tune-in", streamer=far.name, cause=wire.cause)
+            log.info("connection lost under a tune-in", streamer=far.name, cause=line.cause)
             # It may have run, and may play there to nobody.
             far.owed.append(messages.down(out.ask.viewing, messages.ENDED))
             self.given_up[key] = self.clock() + LATE
@@ -236,59 +259,62 @@
         """Once in a short while: are the streamers that play for us still there?"""
         now = self.clock()
         held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
-        for name, far in list(self.fars.items()):
+        for far in list(self.fars.values()):
             self._prune(far, now)
-            if not held[name]:
-                if far.gone and not any(far.wires.values()):
-                    for wire in list(far.wires):
-                        wire.close()
-                    del self.fars[name]
-                far.pulse.spoke(now)
-                far.told_silent = False
+            if held[far.name]:
+                self._test_far(far, now)
                 continue
-            if not far.wires:
-                self._need(far)
-            else:
-                for wire in far.wires:
-                    wire.send(messages.hb(f"{next(self._tests):016x}"))
-            word = far.pulse.word(now)
-            if word is Word.LOST:
-                self._gone(far, "silent")
-                for wire in list(far.wires):
-                    wire.close("silent")
-                far.pulse.spoke(now)
-            elif word is Word.SILENT and not far.told_silent:
-                far.told_silent = True
-                self.host.share_told(now, name, 0.0)
+            if far.gone and not any(line.outs for line in far.lines):
+                for line in list(far.lines):
+                    line.close()
+                del self.fars[far.name]
+            far.pulse.spoke(now)
+            far.told_silent = False
         for key in [key for key, until in self.given_up.items() if until <= now]:
             del self.given_up[key]
         for ref in [ref for ref, (_, at) in self.probes.items() if now - at > 0.5]:
             streamer, at = self.probes.pop(ref)
             self.host.probed(now, streamer, Ending.TIMED_OUT, now - at, None)
 
+    def _test_far(self, far: Far, now: float) -> None:
+        if not far.lines:
+            self._need(far)
+        elif now - far.pulse.heard > QUIET:
+            self._say(far, messages.hb(self._test()))
+        word = far.pulse.word(now)
+        if word is Word.LOST:
+            self._gone(far, "silent")
+            for line in list(far.lines):
+                line.close("silent")
+            far.pulse.spoke(now)
+        elif word is Word.SILENT and not far.told_silent:
+            far.told_silent = True
+            self.host.share_told(now, far.name, 0.0)
+
     def _prune(self, far: Far, now: float) -> None:
-        free = sorted(
-            (at, id(wire), wire) for wire, at in far.spoke.items() if far.wires.get(wire, True) is None
-        )
-        for at, _, wire in free[: max(0, len(free) - SPARE)]:
-            if now - at > STALE:
-                wire.close()
+        for line in list(far.lines):
+            if line.doubted is not None and now - line.doubted > DOUBT and not line.outs:
+                line.close("no answer")
+        free = sorted((line for line in far.lines if not line.outs), key=lambda line: line.spoke)
+        for line in free[: max(0, len(free) - SPARE)]:
+            if now - line.spoke > (STALE if self.room() else 0.0):
+                line.close()
 
     # What streamers say.
 
-    def _heard(self, wire: Wire, line: bytes) -> None:
-        far: Far = wire.far
+    def _heard(self, line: Line, data: bytes) -> None:
+        far = line.far
         try:
-            m = messages.read(line)
+            m = messages.read(data)
             now = self.clock()
-            far.spoke[wire] = now
+            line.spoke, line.doubted = now, None
             far.pulse.spoke(now)
             far.told_silent = False
             match m.t:
                 case "up":
-                    self._started(far, wire, m)
+                    self._started(far, line, m)
                 case "down":
-                    self._ended(far, wire, m)
+                    self._ended(far, line, m)
                 case "tell":
                     self._note(far, m)
                 case "hb_ok":
@@ -302,32 +328,29 @@
         except (Unreadable, Unfit) as fault:
             # What follows cannot be told apart from noise any more.
             log.warning("streamer not understood", streamer=far.name, cause=str(fault)[:120])
-            far.spoke.pop(wire, None)
-            wire.close(str(fault))
+            line.close(str(fault))
 
-    def _started(self, far: Far, wire: Wire, m: Message) -> None:
+    def _started(self, far: Far, line: Line, m: Message) -> None:
         key = far.name, m.ref
         if not m.d:
             raise Unfit("an answer without a description")
         out = self.outs.get(key)
-        if out is not None and out.wire is wire:
+        if out is not None and out.line is line:
             load = messages.load(m)
-            del self.outs[key]
-            far.wires[wire] = None
+            del self.outs[key], line.outs[m.ref]
             self.viewers.answered(m.ref, m.d)
             if not self.host.started(self.clock(), m.ref, out.number, far.name, load):
                 log.info("late answer", streamer=far.name, viewing=m.ref)
         elif self.given_up.pop(key, None):
             # It plays there to nobody.
-            wire.send(messages.down(m.ref, messages.ENDED))
+            line.send(messages.down(m.ref, messages.ENDED))
 
-    def _ended(self, far: Far, wire: Wire, m: Message) -> None:
+    def _ended(self, far: Far, line: Line, m: Message) -> None:
         key = far.name, m.ref
         load = messages.load(m)
         if (out := self.outs.get(key)) is not None:
-            if out.wire is wire:
-                del self.outs[key]
-                far.wires[wire] = None
+            if out.line is line:
+                del self.outs[key], line.outs[m.ref]
                 how = messages.BEFORE.get(m.c, Ending.BROKEN)
                 self.host.ended(self.clock(), m.ref, out.number, how, load)
             return
@@ -337,7 +360,7 @@
         if life.state is State.PLAYING:
             how = messages.AFTER.get(m.c, Ending.BROKEN)
             self.host.ended(self.clock(), m.ref, life.number, how, load)
-            wire.send(messages.ack(m.ref))
+            line.send(messages.ack(m.ref))
         elif life.state is State.CLOSING:
             self.host.torn_down(self.clock(), m.ref, life.number)
 
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -18,12 +18,13 @@
 
 
 class Held:
-    """A viewing as its viewer's side has it: its connection, and the description until it plays."""
+    """A viewing as its viewer's side has it: its connection, and what it offers until it plays."""
 
-    __slots__ = ("wire", "description", "answered", "mine")
+    __slots__ = ("wire", "offer", "reply", "answered", "mine")
 
-    def __init__(self, wire: Wire, description: str):
-        self.wire, self.description, self.answered, self.mine = wire, description, False, False
+    def __init__(self, wire: Wire, offer: str):
+        # The reply is kept apart: one that the host finds late must not be the offer of the next tune-in.
+        self.wire, self.offer, self.reply, self.answered, self.mine = wire, offer, "", False, False
 
 
 class Viewers:
@@ -109,6 +110,9 @@
             wire.send(messages.down(m.ref, messages.FAILED))
             return
         self._sound(wire)
+        if self.crowd.swamped():
+            wire.send(messages.down(m.ref, messages.BUSY, self.launch.charter.come_back))
+            return
         now = self.clock()
         self.crowd.took(wire)
         self.held[m.ref] = Held(wire, m.d)
@@ -150,20 +154,20 @@
 
     def description(self, ref: str) -> str:
         """What the viewer offered; "" once it plays."""
-        return self.held[ref].description
+        return self.held[ref].offer
 
     def answered(self, ref: str, description: str) -> None:
         """What a streamer answered, to be passed on if the host takes it."""
         if held := self.held.get(ref):
-            held.description = description
+            held.reply = description
 
     def answer(self, ref: str, answer: Answer) -> None:
         held = self.held[ref]
         self.crowd.settled(held.wire)
         if answer.verdict == "plays":
             held.answered = True
-            held.wire.send(messages.up(ref, held.description))
-            held.description = ""
+            held.wire.send(messages.up(ref, held.reply))
+            held.offer = held.reply = ""
             self.trusted.pop(held.wire, None)
             if not held.wire.closed:
                 self.trusted[held.wire] = None
--- a/herongap/node/wire.py
+++ b/herongap/node/wire.py
@@ -83,7 +83,11 @@
                 for line in self.lines.feed(data):
                     if TRACE and TRACE in line:
                         log.info("heard", peer=self.peer, line=line.decode("utf-8", "replace"))
-                    self._heard(self, line)
+                    try:
+                        self._heard(self, line)
+                    except Exception:
+                        # One line that we cannot deal with must not cost what else this connection carries.
+                        log.exception("a fault of ours; the line is passed over", peer=self.peer)
                     if self.closed:
                         break
         except TooLong as fault:
--- a/herongap/platform/messages.py
+++ b/herongap/platform/messages.py
@@ -15,7 +15,7 @@
 Number = int | float
 NAMES = re.compile(r"[0-9a-f]{16}")
 # Causes that a controller sends: refused, so that trying again is harmless; failed; ended; cut.
-REFUSED, FAILED, ENDED, CUT = 34, 47, 16, 41
+REFUSED, BUSY, FAILED, ENDED, CUT = 34, 42, 47, 16, 41
 # What a streamer's release means before its answer, and after it; another cause counts as a reset.
 BEFORE = {34: Ending.FULL, 47: Ending.FAULTY, 102: Ending.NOT_SENT}
 AFTER = {16: Ending.PLAYED, 31: Ending.CALLED_OFF}
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -19,6 +19,7 @@
 from herongap.interface import Asked, Charter, Ending, Group, Listed, Load, Package, Repeat, Standing
 
 PERIOD, RANKS, WINDOW = 0.5, 5.0, 60.0  # the timer; ranks refresh; old viewings fade from a cell
+GLANCE = 0.02           # between two looks at all that wait
 THIN, SEED = 3, 0.05    # viewings that make a cell count; share of set-ups that go round robin all the same
 TIE, CROSS = 0.10, 0.1  # scores this close to the best tie; another zone counts as so much fuller among them
 MARK = 0.95             # part of a link or uplink that set-ups and raises may fill
@@ -118,11 +119,11 @@
         # A cell: viewings, seconds played, score summed over those seconds.
         self.table: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.ranks, self.fill, self.turn = {}, {}, {}
-        self.taken, self.extras = [], []
+        self.taken, self.extras, self.seated, self.fresh = deque(), deque(), Counter(), []
         self.begun, self.shares, self.rates = now, c.over_share < 0.5, {}
         self.usual = self.price = 0.0
         self.due: list[tuple] = []
-        self.period, self.refresh, self.wake, self.look = now, now, -1e9, False
+        self.period, self.refresh, self.wake, self.look, self.glance = now, now, -1e9, False, now
         self.over, self.probing = set(), set()
         self.answers: deque[tuple] = deque([("follow",)] if c.must_follow else [])
 
@@ -160,7 +161,7 @@
         if self.extra:
             self.taken.append(now)
         heappush(self.due, (min(now + HOLD * vw.package.join, vw.until - 0.05), "hold", vw.id))
-        self.look = True
+        self.fresh.append(vw)
 
     def floods(self, now: float, member: str) -> bool:
         # What a member asks beyond its share is worth little and must not take the others' places. Its share
@@ -168,7 +169,10 @@
         rate, usual, at = self.rates.get(member, (0.0, 0.0, now))
         rate = rate * exp((at - now) / 2) + 0.5
         flood = now - self.begun > 5 and rate > FLOOD * usual + LEAST
-        self.rates[member] = rate, usual if flood else rate + (usual - rate) * exp((at - now) / 20), now
+        # Over 20 s, or the time lived where that is less: begun at nothing, it would stay far under a high
+        # steady rate for the first seconds, and that rate then pass for a flood for good.
+        span = min(20.0, now - self.begun + 1)
+        self.rates[member] = rate, usual if flood else rate + (usual - rate) * exp((at - now) / span), now
         return flood
 
     def handed(self, now: float, ask: Asked, streamer: int) -> None:
@@ -242,6 +246,7 @@
                 vw.ran.append((st.line.zone, st.line.cell, vw.sent))
             vw.tries = self.tune_ins if how is Ending.NOT_SENT else vw.tries
             self.waiting[viewing] = vw
+            self.fresh.append(vw)
             heappush(self.due, (min(max(now + 0.05, vw.aim), vw.until - 0.05), "hold", viewing))
         self.look = True
 
@@ -258,6 +263,7 @@
         if how is not Ending.PLAYED:
             self.set_aside(now, st, True)
         self.probing.discard(streamer)
+        self.fresh += [vw for vw in self.waiting.values() if vw.waits == streamer]
         self.look = True
 
     def heard(self, now: float, peer: int, words: bytes) -> None:
@@ -292,11 +298,16 @@
             self.cut(now, self.streamers[streamer])
             self.raise_one(now, self.streamers[streamer])
         self.over.clear()
-        if self.look:
-            self.look = False
-            for vw in list(self.waiting.values()):
+        # One more request makes no room: those that wait already are looked at when something else has
+        # changed, and not at every single word, since with many in wait all time would go into looking.
+        if look := self.look and now >= self.glance:
+            self.look, self.glance = False, now + GLANCE
+        fresh, self.fresh = list(self.waiting.values()) if look else self.fresh, []
+        for vw in fresh:
+            if self.waiting.get(vw.id) is vw:
                 self.place(now, vw)
         wake = min(self.period, self.due[0][0]) if self.due else self.period
+        wake = min(wake, self.glance) if self.look else wake
         if not now < self.wake <= wake:
             self.wake = wake
             self.answers.append(("wake", wake))
@@ -311,9 +322,7 @@
             # Waiting would not help: the viewer is better off coming again.
             self.give_up(vw)
             return True
-        seated = p.seats and p.seats <= sum(
-            held.streamer is not None and held.package is p and held.ask.title == vw.ask.title
-            for held in self.viewings.values())
+        seated = p.seats and p.seats <= self.seated[p.name, vw.ask.title]
         if seated or (vw.tries and not self.may_repeat(now)):
             return False
         ready = [st for st in holders if st.line.standing is Standing.ACTIVE
@@ -392,8 +401,10 @@
         if not self.extra:
             return True
         free, share, window = self.extra
-        self.extras = [at for at in self.extras if at >= now - window - 0.1]
-        self.taken = [at for at in self.taken if at >= now - window + 0.1]
+        while self.extras and self.extras[0] < now - window - 0.1:
+            self.extras.popleft()
+        while self.taken and self.taken[0] < now - window + 0.1:
+            self.taken.popleft()
         return len(self.extras) + 1 <= free + share * len(self.taken)
 
     def repeats_at(self, now: float, vw: Viewing, st: Streamer) -> bool:
@@ -526,11 +537,15 @@
     def put(self, now: float, vw: Viewing, st: Streamer) -> None:
         vw.streamer = st
         st.held[vw.id] = vw
+        self.seated[vw.package.name, vw.ask.title] += 1
         self.ask(now, vw, 1)
 
     def drop(self, now: float, vw: Viewing) -> None:
         self.ask(now, vw, -1)
         del vw.streamer.held[vw.id]
+        self.seated[vw.package.name, vw.ask.title] -= 1
+        if not self.seated[vw.package.name, vw.ask.title]:
+            del self.seated[vw.package.name, vw.ask.title]
         vw.streamer = None
 
     def ask(self, now: float, vw: Viewing, sign: int) -> None:
--- /dev/null
+++ b/tests/node_world.py
@@ -0,0 +1,217 @@
+"""A controller of the platform on loopback: its configuration, a resolver, streamers and a viewers' side."""
+
+import json
+import socket as plain
+import time
+
+import dns.flags
+import dns.message
+import dns.rrset
+import gevent
+from gevent import socket
+
+from herongap.daemon.listen import listen
+from herongap.node.run import Node
+
+OFFER = "0011223344556677\r\nc=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n"
+SETTINGS = {
+    "Allowed": {"ConnIdle": 30000.0, "ConnectTimeout": 250.0, "MaxAttempts": 4, "MaxRetryAfter": 500.0,
+                "Probes": False, "RetryAfter": True},
+    "FamilyInfo": {"ClassFloor": [0, 1], "ClassScale": [1, 1], "KbPerWeight": 3000.0, "KindSlots": [2000],
+                   "LadderKb": [100.0, 300.0, 900.0], "LevelWorth": [0.3, 0.6, 1.0], "Places": 3,
+                   "RackLinkKb": 90000.0, "Racks": 2, "RefusesFrom": 1.2, "Seats": [0, 2], "ToldLate": 500.0},
+    "FleetSize": 2,
+    "Grades": [
+        {"Aim": 540.0, "Credit": 1.0, "Deadline": 1800.0, "Idempotency": "pure", "Name": "standard"},
+        {"Aim": 300.0, "Credit": 2.0, "Deadline": 1400.0, "Idempotency": "pure", "Name": "priority"},
+    ],
+    "Invariants": {"FallMultiple": 2.5, "LookBack": 5000.0, "MinExtra": 5.0, "RampTime": 12000.0,
+                   "RepeatRatio": 0.1, "StartCapacity": 0.4},
+    "Locality": "east", "Me": 0, "OverShareWorth": 0.1, "RegistryMode": "push", "Skus": ["std"],
+    "Tenants": [{"Name": "acme"}],
+}  # fmt: skip
+
+
+def free_address() -> tuple[str, int]:
+    sock = listen(("127.0.0.1", 0))
+    try:
+        return sock.getsockname()
+    finally:
+        sock.close()
+
+
+class Peer:
+    """A connection of JSON lines, read by a greenlet; `got` has all that came."""
+
+    def __init__(self, sock):
+        self.sock, self.got, self.ended = sock, [], False
+        gevent.spawn(self._read)
+
+    def _read(self):
+        rest = b""
+        try:
+            while data := self.sock.recv(65536):
+                *lines, rest = (rest + data).split(b"\n")
+                self.got += [json.loads(line) for line in lines if line]
+        except OSError:
+            pass
+        self.ended = True
+
+    def say(self, **message):
+        self.raw(json.dumps({"f": {}, **message}).encode() + b"\n")
+
+    def raw(self, data: bytes):
+        self.sock.sendall(data)
+
+    def of(self, t: str, ref: str | None = None) -> list[dict]:
+        return [m for m in self.got if m["t"] == t and ref in (None, m["ref"])]
+
+    def close(self):
+        self.sock.close()
+
+
+class FakeStreamer:
+    """Answers set-ups as `does` says: a function of (peer, message); by default each plays."""
+
+    def __init__(self):
+        self.listener = listen(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        self.peers, self.does, self.news = [], self.plays, []
+        self._greenlet = gevent.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            peer = Peer(sock)
+            self.peers.append(peer)
+            gevent.spawn(self._serve, peer)
+
+    def _serve(self, peer):
+        seen = 0
+        while not (peer.ended and seen == len(peer.got)):
+            for m in peer.got[seen:]:
+                seen += 1
+                if m["t"] == "hb":
+                    peer.say(t="hb_ok", ref=m["ref"], c=1)
+                elif m["t"] == "new":
+                    self.news.append(m)
+                    self.does(peer, m)
+            gevent.sleep(0.002)
+
+    def plays(self, peer, m):
+        peer.say(t="up", ref=m["ref"], d="answer to " + m["ref"])
+
+    def heard(self, t: str, ref: str) -> int:
+        return sum(len(peer.of(t, ref)) for peer in self.peers)
+
+    def die(self):
+        """As a process that is killed: nobody listens, its connections are reset."""
+        self.listener.close()
+        self._greenlet.kill(block=False)
+        for peer in self.peers:
+            peer.sock.setsockopt(plain.SOL_SOCKET, plain.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            peer.close()
+
+    def close(self):
+        self.listener.close()
+        for peer in self.peers:
+            peer.close()
+
+
+class FakeResolver:
+    """Tells `world.streamers`; `spoil` may change an answer's bytes, None drops it."""
+
+    def __init__(self, world):
+        self.world, self.spoil, self.asked, self.serial = world, lambda data: data, 0, 1
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.address = self.sock.getsockname()
+        gevent.spawn(self._run)
+
+    def _run(self):
+        while True:
+            try:
+                data, peer = self.sock.recvfrom(4096)
+            except OSError:
+                return
+            self.asked += 1
+            out = self.spoil(self.answer(data))
+            if out is not None:
+                self.sock.sendto(out, peer)
+
+    def answer(self, data: bytes) -> bytes:
+        asked = dns.message.from_wire(data)
+        told = dns.message.make_response(asked)
+        name = asked.question[0].name
+        world = self.world
+        soa = f"ns.fleet.local. op.fleet.local. {self.serial} 1 1 1 1"
+        told.authority.append(dns.rrset.from_text("fleet.local.", 0, "IN", "SOA", soa))
+        for i, (sid, streamer) in enumerate(world.streamers.items()):
+            host, priority = f"{sid}.east.hosts.", int(sid in world.draining)
+            port = streamer.address[1]
+            told.answer += [dns.rrset.from_text(name, 0, "IN", "SRV", f"{priority} 40 {port} {host}")]
+            told.additional += [
+                dns.rrset.from_text(host, 0, "IN", "A", "127.0.0.1"),
+                dns.rrset.from_text(host, 0, "IN", "TXT", f'"kind=std" "cell={i}" "started=0"'),
+            ]
+        return told.to_wire(max_size=8000)
+
+    def close(self):
+        self.sock.close()
+
+
+class World:
+    """One controller with `streamers` streamers, all of them holders of every title."""
+
+    def __init__(self, folder, streamers=3, sockets=256, **settings):
+        self.streamers = {f"s-{i:08x}": FakeStreamer() for i in range(streamers)}
+        self.draining = set()
+        self.resolver = FakeResolver(self)
+        self.address = free_address()
+        self.path = folder / "config.json"
+        self.settings, self.sockets = SETTINGS | settings, sockets
+        self.peers = []
+        self.configure(self.resolver.address)
+        self.node = Node(str(self.path))
+        self.node.start()
+        self.next = 0
+
+    def configure(self, names):
+        servers = [
+            {"id": sid, "addr": "{}:{}".format(*s.address), "zone": "east", "kind": "std", "cell": i,
+             "state": "Ready", "weight": 4, "started_ms": 0}
+            for i, (sid, s) in enumerate(self.streamers.items())
+        ]  # fmt: skip
+        event = {"cursor": 1, "nodes": {"version": 1, "full": True, "servers": servers}}
+        self.path.write_text(json.dumps({
+            "name": "n0", "listen": "{}:{}".format(*self.address), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
+            "names": "{}:{}".format(*names), "known": {"cursor": 1, "cmds": [event]},
+            "settings": self.settings,
+        }))  # fmt: skip
+
+    def viewer(self) -> Peer:
+        self.peers.append(Peer(socket.create_connection(self.address)))
+        return self.peers[-1]
+
+    def ask(self, peer, ref=None, d=OFFER, **fields) -> str:
+        self.next += 1
+        ref = ref or f"{self.next:016x}"
+        f = {"class": "standard", "left": "1500", "tenant": "acme", "key": "7f3a9c21e0b4d655",
+             "extras": "home:0;copies:3;top:2;viewer:00000000b4d65521"}  # fmt: skip
+        peer.say(t="new", ref=ref, f={k: v for k, v in (f | fields).items() if v is not None}, d=d)
+        return ref
+
+    def until(self, true, seconds=3.0):
+        end = time.monotonic() + seconds
+        while not true():
+            assert time.monotonic() < end, "did not come about"
+            gevent.sleep(0.005)
+
+    def close(self):
+        for part in (*self.peers, *self.streamers.values(), self.resolver):
+            part.close()
+        self.node.close()
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -215,6 +215,13 @@
     assert not (c.streamers or c.viewings or c.waiting)
 
 
+def test_a_steady_rate_is_no_flood_however_high():
+    for rate in (1, 10, 40):
+        c = controller(charter(over_share=0.1))
+        assert not any(c.floods(i / rate, "member") for i in range(30 * rate))
+    assert any(c.floods(30 + i / 400, "member") for i in range(400))
+
+
 def test_a_member_that_floods_leaves_places_to_the_others():
     c, sent = controller(charter(over_share=0.1), now=-20.0), []
     hear(c, -20, 20)
