A viewer's connection is not closed with a line just begun or with bytes unread

To blame, by reading: Crowd.overdue took a line begun now on a connection idle for 2 s for one left for 2 s; Crowd.came closed connections whose request had come and was not read yet. Both have tests.

--- a/herongap/crowd.py
+++ b/herongap/crowd.py
@@ -26,6 +26,7 @@
     def __init__(self, most: int):
         self.most = most
         self.known: dict[Hashable, Known] = {}
+        self.half: dict[Hashable, float] = {}
         self.shed = 0
         self.behind = 0.0
 
@@ -37,17 +38,26 @@
         """Whether the process is so late that new set-ups would only make those late that it has taken."""
         return self.behind > LAG
 
-    def came(self, now: float, who: Hashable) -> list:
-        """One more connection; those to be closed for it: mute ones first, then those longest without use."""
+    def came(self, now: float, who: Hashable, quiet: Callable[[Hashable], bool]) -> list:
+        """One more connection; those to be closed for it: mute ones first, then those longest without use.
+
+        `quiet` tells whether nothing of a connection is still unread: a request on its way is not cut off.
+        """
         self.known[who] = Known(now, None, 0)
         over = len(self.known) - self.most
         if over <= 0:
             return []
         idle = [(k.spoke is not None, k.spoke or k.since, i, w)
                 for i, (w, k) in enumerate(self.known.items()) if not k.waiting and w is not who]  # fmt: skip
-        victims = [w for *_, w in sorted(idle)[:over]] or [who]
+        victims = []
+        for *_, victim in sorted(idle):
+            if len(victims) == over:
+                break
+            if quiet(victim):
+                victims.append(victim)
+        victims = victims or [who]
         for victim in victims:
-            del self.known[victim]
+            self.went(victim)
         self.shed += len(victims)
         return victims
 
@@ -68,10 +78,23 @@
 
     def went(self, who: Hashable) -> None:
         self.known.pop(who, None)
+        self.half.pop(who, None)
+
+    def overdue(self, now: float, quiet: Callable, begun: Callable) -> Iterator:
+        """Those that said nothing for too long since they came, or left a line begun for so long.
 
-    def overdue(self, now: float, begun: Callable[[Hashable], bool]) -> Iterator:
-        """Those that said nothing for too long since they came, or `begun` a line and left it so."""
+        `quiet` as above; `begun` tells whether a connection has begun a line and not ended it.
+        """
         for who, known in list(self.known.items()):
-            if now - (known.spoke or known.since) > MUTE and (known.spoke is None or begun(who)):
-                del self.known[who]
+            if not begun(who):
+                self.half.pop(who, None)
+                late = known.spoke is None and now - known.since > MUTE and quiet(who)
+            else:
+                # Since when, only these looks tell; a whole message since then begins it anew.
+                since = self.half.setdefault(who, now)
+                if known.spoke is not None and known.spoke > since:
+                    since = self.half[who] = now
+                late = now - since > MUTE
+            if late:
+                self.went(who)
                 yield who
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -53,7 +53,7 @@
                 continue
             wire = Wire(sock, peer[0], self._heard, self._lost)
             self.wires.add(wire)
-            for victim in self.crowd.came(self.clock(), wire):
+            for victim in self.crowd.came(self.clock(), wire, Wire.quiet):
                 victim.close("shed")
 
     def stop(self) -> None:
@@ -64,7 +64,7 @@
     def tend(self) -> None:
         """Once in a short while: close what says nothing, drop what can no longer be told."""
         now = self.clock()
-        for wire in self.crowd.overdue(now, lambda wire: wire.lines.begun):
+        for wire in self.crowd.overdue(now, Wire.quiet, lambda wire: wire.lines.begun):
             wire.close("silent")
         for ref in [ref for ref, (until, _) in self.owed.items() if until <= now]:
             del self.owed[ref]
--- a/herongap/node/wire.py
+++ b/herongap/node/wire.py
@@ -66,6 +66,13 @@
         except OSError:
             return False
 
+    def quiet(self) -> bool:
+        """Whether nothing that its peer sent is still unread."""
+        try:
+            return self.closed or not self.sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT)
+        except OSError:
+            return True
+
     def close(self, cause: str = "") -> None:
         if not self.closed:
             self.closed, self.cause = True, cause
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,53 @@
+"""Which connections of viewers are kept, without sockets."""
+
+from herongap.crowd import MUTE, Crowd
+
+
+def nobody(who):
+    return False
+
+
+def anybody(who):
+    return True
+
+
+def test_mute_connections_go_first_then_those_longest_without_use():
+    crowd = Crowd(3)
+    for i, who in enumerate("abc"):
+        assert crowd.came(i / 10, who, anybody) == []
+    crowd.spoke(1.0, "a")
+    crowd.spoke(2.0, "c")
+    assert crowd.came(2.1, "d", anybody) == ["b"]
+    crowd.spoke(2.2, "d")
+    assert crowd.came(2.3, "e", anybody) == ["a"]
+
+
+def test_one_with_a_set_up_open_or_bytes_unread_is_not_shed():
+    crowd = Crowd(2)
+    crowd.came(0.0, "a", anybody)
+    crowd.came(0.0, "b", anybody)
+    crowd.took("a")
+    assert crowd.came(1.0, "c", lambda who: who != "b") == ["c"]
+    crowd.settled("a")
+    assert crowd.came(1.0, "d", lambda who: who != "b") == ["a"]
+
+
+def test_silence_ends_a_connection_that_never_spoke_and_no_other():
+    crowd = Crowd(9)
+    crowd.came(0.0, "mute", anybody)
+    crowd.came(0.0, "spoke", anybody)
+    crowd.spoke(0.1, "spoke")
+    assert list(crowd.overdue(MUTE - 0.1, anybody, nobody)) == []
+    assert list(crowd.overdue(MUTE + 0.1, nobody, nobody)) == []
+    assert list(crowd.overdue(MUTE + 0.1, anybody, nobody)) == ["mute"]
+    assert list(crowd.overdue(900.0, anybody, nobody)) == []
+
+
+def test_a_line_that_has_only_just_begun_on_an_idle_connection_may_still_end():
+    crowd = Crowd(9)
+    crowd.came(0.0, "a", anybody)
+    crowd.spoke(0.1, "a")
+    half = {"a"}.__contains__
+    assert list(crowd.overdue(60.0, nobody, half)) == []
+    assert list(crowd.overdue(60.0 + MUTE - 0.1, nobody, half)) == []
+    assert list(crowd.overdue(60.0 + MUTE + 0.1, nobody, half)) == ["a"]
