A replaced streamer's viewings end at once; a release is told again if its connection broke

Two ways to lose one, each shown on loopback: a streamer that has gone and whose address another one has answers tests for it, so nobody is told; and a release handed to a connection that breaks goes with it. To blame: Streamers.listed and _test_far, Viewers._release.

Tests on loopback: bad clients (noise, endless, unfit fields, ids open already, mute, half lines), spoilt and surplus answers, resolver lost, cut, older, failing; reload, planned restart, seats, hand-over.

--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -85,8 +85,12 @@
         for name, address in addresses.items():
             if name not in self.fars or self.fars[name].address != address:
                 self.fars[name] = Far(name, address, now)
+        taken = set(addresses.values())
         for name, far in self.fars.items():
             far.gone = name not in addresses
+            if far.gone and far.address in taken:
+                # Another one listens there now: whatever answers is not the one that played for us.
+                self._gone(far, "replaced")
 
     # The port.
 
@@ -252,6 +256,8 @@
         if held:
             log.warning("streamer lost", streamer=far.name, viewings=len(held), cause=cause)
         far.owed.clear()
+        for line in list(far.lines):
+            line.close(cause)
         for viewing, number in held:
             self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
 
@@ -277,15 +283,16 @@
             self.host.probed(now, streamer, Ending.TIMED_OUT, now - at, None)
 
     def _test_far(self, far: Far, now: float) -> None:
-        if not far.lines:
+        if not far.lines and far.gone:
+            # Gone from the list and its connections broken: whoever listens there next is another.
+            self._gone(far, "gone")
+        elif not far.lines:
             self._need(far)
         elif now - far.pulse.heard > QUIET:
             self._say(far, messages.hb(self._test()))
         word = far.pulse.word(now)
         if word is Word.LOST:
             self._gone(far, "silent")
-            for line in list(far.lines):
-                line.close("silent")
             far.pulse.spoke(now)
         elif word is Word.SILENT and not far.told_silent:
             far.told_silent = True
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -33,7 +33,9 @@
     def __init__(self, launch: Launch, host: Host, crowd: Crowd, clock: Callable[[], float]):
         self.launch, self.host, self.crowd, self.clock = launch, host, crowd, clock
         self.held: dict[str, Held] = {}
-        self.owed: dict[str, tuple[float, bytes]] = {}
+        self.owed: dict[str, tuple[bytes, float]] = {}
+        # Releases on their way: what a connection took along when it broke is told again on another.
+        self.unheard: dict[str, tuple[Wire, bytes, float]] = {}
         self.wires: set[Wire] = set()
         self.trusted: dict[Wire, None] = {}  # on which viewings have stood, the newest last
         self.ready = False
@@ -66,8 +68,9 @@
         now = self.clock()
         for wire in self.crowd.overdue(now, Wire.quiet, lambda wire: wire.lines.begun):
             wire.close("silent")
-        for ref in [ref for ref, (until, _) in self.owed.items() if until <= now]:
-            del self.owed[ref]
+        for told in (self.owed, self.unheard):
+            for ref in [ref for ref, entry in told.items() if entry[-1] <= now]:
+                del told[ref]
 
     # What viewers say.
 
@@ -81,7 +84,9 @@
             elif m.t == "hb":
                 self._sound(wire)
                 wire.send(messages.hb_ok(m.ref[:64], self.ready))
-            elif m.t not in ("wait", "ack", "tell"):
+            elif m.t == "ack":
+                self.unheard.pop(m.ref, None)
+            elif m.t not in ("wait", "tell"):
                 raise Unreadable(f"unknown message {m.t!r:.20}")
         except Unreadable as fault:
             log.info("viewer not understood", peer=wire.peer, cause=str(fault)[:120])
@@ -150,6 +155,11 @@
                 self.held[ref].mine = True
                 self.host.left(self.clock(), ref)
 
+        for ref, (at, message, until) in list(self.unheard.items()):
+            if at is wire:
+                del self.unheard[ref]
+                self._tell(ref, message, None, until)
+
     # What the host has for viewers.
 
     def description(self, ref: str) -> str:
@@ -193,16 +203,22 @@
             self._release(ref, held, messages.down(ref, cause))
 
     def _release(self, ref: str, held: Held, message: bytes) -> None:
-        for wire in (held.wire, *reversed(self.trusted)):
+        self._tell(ref, message, held.wire, self.clock() + OWED)
+
+    def _tell(self, ref: str, message: bytes, first: Wire | None, until: float) -> None:
+        """A release, on the connection that is best for it, kept until it is acknowledged."""
+        for wire in (first, *reversed(self.trusted)):
             if wire is not None and wire.send(message):
+                self.unheard[ref] = wire, message, until
                 return
         # No way to its viewer's side is open: it goes with the next that opens.
-        self.owed[ref] = self.clock() + 8.0, message
+        self.owed[ref] = message, until
 
     def _pay(self, wire: Wire) -> None:
         owed, self.owed = self.owed, {}
-        for _, message in owed.values():
-            wire.send(message)
+        for ref, (message, until) in owed.items():
+            self._tell(ref, message, wire, until)
 
 
+OWED = 8.0  # seconds for which a release is worth telling
 AHEAD = 0.06  # seconds by which an answer leaves before its viewer stops waiting
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -73,8 +73,8 @@
 class FakeStreamer:
     """Answers set-ups as `does` says: a function of (peer, message); by default each plays."""
 
-    def __init__(self):
-        self.listener = listen(("127.0.0.1", 0))
+    def __init__(self, address=("127.0.0.1", 0)):
+        self.listener = listen(address)
         self.address = self.listener.getsockname()
         self.peers, self.does, self.news = [], self.plays, []
         self._greenlet = gevent.spawn(self._accept)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,7 +4,9 @@
 
 import gevent
 import pytest
-from node_world import OFFER, World
+from node_world import OFFER, FakeResolver, FakeStreamer, World
+
+from herongap.interface import Standing
 
 
 @pytest.fixture
@@ -91,3 +93,263 @@
     w.until(lambda: any(s.heard("down", ref) for s in w.streamers.values()))
     gevent.sleep(0.05)
     assert not v.of("up") and not v.of("down") and not w.node.host.lives
+
+
+def test_a_streamer_replaced_at_its_address_does_not_pass_for_the_one_before(world):
+    w = world(streamers=1)
+    v = w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: v.of("up", ref))
+    old = w.streamers.pop("s-00000000")
+    old.die()
+    gevent.sleep(0.01)  # its listener is closed when its greenlet has ended
+    w.streamers["s-00000009"] = FakeStreamer(old.address)
+    w.resolver.serial += 1
+    w.until(lambda: v.of("down", ref))
+    again = w.ask(v)
+    w.until(lambda: v.of("up", again))
+
+
+def test_a_release_that_its_connection_took_along_is_told_again(world):
+    w = world(streamers=1)
+    v, other = w.viewer(), w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: v.of("up", ref))
+    w.ask(other)
+    w.until(lambda: other.of("up"))
+    (streamer,) = w.streamers.values()
+    streamer.peers[0].say(t="down", ref=ref, c=16)
+    w.until(lambda: v.of("down", ref))
+    v.close()
+    w.until(lambda: other.of("down", ref))
+    other.say(t="ack", ref=ref)
+    w.until(lambda: not w.node.viewers.unheard)
+
+
+def test_a_silent_streamer_loses_its_viewings_within_the_time_for_it(world):
+    w = world(streamers=1)
+    v = w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: v.of("up", ref))
+    far = w.node.port.fars["s-00000000"]
+    far.pulse.heard -= 60.0  # nothing was heard for a minute
+    w.until(lambda: v.of("down", ref), seconds=1.0)
+    assert v.of("down", ref)[0]["c"] == 41
+
+
+def test_a_reload_takes_the_new_resolver_and_a_bad_file_changes_nothing(world):
+    w = world(streamers=2)
+    w.path.write_text("{ half a file")
+    w.node.reload()
+    assert w.node.resolver.address == w.resolver.address
+    second = FakeResolver(w)
+    w.configure(second.address)
+    w.resolver.close()
+    w.node.reload()
+    w.until(lambda: second.asked)
+    w.draining.add("s-00000000")
+    second.serial = 2
+    w.until(lambda: w.node.host.standing["s-00000000"] is Standing.LEAVING)
+    second.close()
+
+
+def test_of_a_resolver_only_good_newer_answers_are_believed(world):
+    w = world(streamers=2)
+    r = w.resolver
+    r.spoil = lambda data: None
+    w.until(lambda: w.node.resolver.bad > 1)
+    w.draining.add("s-00000000")
+    r.serial = 5
+    spoils = (
+        lambda data: data[:-20],
+        lambda data: bytes([data[0] ^ 1]) + data[1:],
+        lambda data: data[:2] + bytes([data[2] | 2]) + data[3:],  # truncated
+        lambda data: data[:3] + bytes([data[3] & 0xF0 | 2]) + data[4:],  # SERVFAIL
+        lambda data: b"\xff" * 40,
+    )
+    for spoil in spoils:
+        asked, r.spoil = r.asked, spoil
+        w.until(lambda: r.asked >= asked + 2)  # noqa: B023
+        assert w.node.resolver.serial == 1
+    r.spoil = lambda data: data
+    w.until(lambda: w.node.resolver.serial == 5)
+    assert w.node.host.standing["s-00000000"] is Standing.LEAVING
+    w.draining.clear()
+    r.serial, asked = 4, r.asked
+    w.until(lambda: r.asked >= asked + 3)
+    assert w.node.host.standing["s-00000000"] is Standing.LEAVING
+
+
+def test_a_planned_restart_serves_what_still_comes_and_answers_all(world, monkeypatch):
+    w = world()
+    v = w.viewer()
+    held = []
+    for s in w.streamers.values():
+        s.does = lambda peer, m: held.append((peer, m))
+    first = w.ask(v)
+    stopping = gevent.spawn(w.node.stop)
+    gevent.sleep(0.1)
+    new = w.viewer()
+    second = w.ask(new)
+    w.until(lambda: len(held) >= 2)
+    gevent.sleep(0.2)
+    for peer, m in held:
+        peer.say(t="up", ref=m["ref"], d="late but whole")
+    w.until(
+        lambda: (
+            (v.of("up", first) or v.of("down", first)) and (new.of("up", second) or new.of("down", second))
+        )
+    )
+    stopping.join(timeout=4.0)
+    assert w.node.stopped.is_set()
+
+
+BAD = (
+    b"\x00\xff noise\n",
+    b"x" * 20000,
+    b"[" * 15000 + b"\n",
+    b'{"t":"new","ref":"0011223344556677","f":[],"d":""}\n',
+    b'{"t":"new","ref":"","f":{},"d":"x"}\n',
+    b'{"t":"what","ref":"0011223344556677","f":{}}\n',
+    b'{"t":"new","ref":"0011223344556677","f":{"left":NaN},"d":"x"}\n',
+    b'{"t":"new","ref":"0011223344556677","f":{"left":true},"d":"x"}\n',
+    b'{"t":7}\n',
+    b"GET / HTTP/1.1\r\n\r\n",
+)
+UNFIT = (
+    {"class": "gold"}, {"class": None}, {"tenant": "nobody"}, {"left": "-5"}, {"left": "1e400"},
+    {"left": "nan"},
+    {"left": "9" * 400}, {"left": None}, {"key": "../../etc"}, {"key": None}, {"hint": "-1"}, {"hint": "inf"},
+    {"extras": "home:0;copies:99;top:2"}, {"extras": "home:-1;copies:1;top:2"}, {"extras": "home"},
+    {"extras": "home:0;copies:1;top:9999999999999"}, {"extras": "home:\u0661;copies:1;top:2"},
+    {"extras": None},
+)  # fmt: skip
+
+
+def test_bad_clients_get_an_end_and_the_usual_ones_notice_nothing(world):
+    w = world()
+    good = w.viewer()
+    for data in BAD:
+        bad = w.viewer()
+        bad.raw(data)
+        w.until(lambda: bad.ended, seconds=1.0)  # noqa: B023
+        assert not bad.of("up")
+    bad = w.viewer()
+    for fields in UNFIT:
+        ref = w.ask(bad, **fields)
+        w.until(lambda: bad.of("down", ref), seconds=1.0)  # noqa: B023
+        assert bad.of("down", ref)[0]["c"] == 47
+    assert not bad.of("up") and not any(s.news for s in w.streamers.values())
+    ref = w.ask(good)
+    w.until(lambda: good.of("up", ref))
+    assert not w.node.viewers.held.keys() - {ref}
+
+
+def test_an_id_that_is_open_already_is_refused_and_its_owner_served(world):
+    w = world()
+    held = []
+    for s in w.streamers.values():
+        s.does = lambda peer, m: held.append((peer, m))
+    v, thief, twice = w.viewer(), w.viewer(), w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: held)
+    w.ask(thief, ref=ref, d="another")
+    thief.say(t="down", ref=ref, c=16)  # nor may it take back what another asked for
+    w.until(lambda: thief.of("down", ref))
+    held[0][0].say(t="up", ref=ref, d="the answer")
+    w.until(lambda: v.of("up", ref))
+    assert [m["d"] for m in v.of("up", ref)] == ["the answer"] and not v.of("down") and not thief.of("up")
+    mine = w.ask(twice)
+    w.ask(twice, ref=mine)
+    w.until(lambda: twice.ended)
+    w.until(lambda: mine not in w.node.host.lives)
+
+
+def test_connections_that_say_nothing_or_half_a_line_are_closed(world):
+    w = world()
+    mute, half = w.viewer(), w.viewer()
+    half.raw(b'{"t":"new"')
+    w.until(lambda: mute.ended and half.ended, seconds=2.9)
+
+
+SPOILT = (
+    b"\x00\x01\xfe\n",
+    b"y" * 20000,
+    b'{"t":"up","ref":"REF","f":{}}\n',
+    b'{"t":"up","ref":"REF","f":{"load":"x0:nan"},"d":"x"}\n',
+    b'{"t":"up","ref":"REF"',
+)
+
+
+@pytest.mark.parametrize("spoilt", SPOILT)
+def test_a_spoilt_answer_costs_its_connection_and_the_viewing_goes_elsewhere(world, spoilt):
+    w = world(streamers=2)
+    first = []
+
+    def spoils(peer, m):
+        if first:
+            peer.say(t="up", ref=m["ref"], d="good")
+            return
+        first.append(peer)
+        peer.raw(spoilt.replace(b"REF", m["ref"].encode()))
+        if not spoilt.endswith((b"\n", b"y")):
+            peer.close()
+
+    for s in w.streamers.values():
+        s.does = spoils
+    v = w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: v.of("up", ref))
+    assert [m["d"] for m in v.of("up", ref)] == ["good"]
+    # It may have started there: it is let go.
+    bad = next(s for s in w.streamers.values() if first[0] in s.peers)
+    w.until(lambda: bad.heard("down", ref))
+
+
+def test_what_a_streamer_says_beyond_its_answer_is_passed_over(world):
+    w = world(streamers=1)
+    (s,) = w.streamers.values()
+
+    def more(peer, m):
+        peer.say(t="up", ref="ffffffffffffffff", d="nobody asked")
+        peer.say(t="up", ref=m["ref"], d="good")
+        peer.say(t="up", ref=m["ref"], d="second copy")
+
+    s.does = more
+    v = w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: v.of("up", ref))
+    gevent.sleep(0.05)
+    assert [m["d"] for m in v.of("up")] == ["good"] and w.node.host.held("s-00000000")
+    assert not s.heard("down", ref)
+
+
+def test_seats_are_kept_through_the_sockets(world):
+    w = world()
+    v = w.viewer()
+    refs = []
+    for _ in range(3):
+        refs.append(w.ask(v, **{"class": "priority"}))
+        w.until(lambda: v.of("up", refs[-1]) or v.of("down", refs[-1]))
+    assert len(v.of("up")) == 2 and v.of("down", refs[-1])[0]["c"] == 34
+    assert float(v.of("down", refs[-1])[0]["f"]["wait"]) == 500
+    sent = [m for s in w.streamers.values() for m in s.news]
+    assert all(int(m["f"]["rung"]) >= 1 for m in sent)
+
+
+def test_viewings_handed_over_are_held_and_their_ends_told(world):
+    w = world()
+    v = w.viewer()
+    extras = "home:0;copies:3;top:2;viewer:01;at:"
+    at, gone = "s-00000001", "s-deadbeef"
+    first = w.ask(v, left="4294967", extras=extras + at)
+    w.ask(v, ref=first, left="4294967", extras=extras + at)  # those already held are passed over
+    lost = w.ask(v, left="4294967", extras=extras + gone)
+    w.until(lambda: v.of("down", lost))  # where it would play, nobody is
+    w.until(lambda: w.streamers[at].peers)
+    peer = w.streamers[at].peers[0]
+    peer.say(t="tell", ref=first, f={"note": "at_rung", "value": "2"})
+    w.until(lambda: w.node.host.lives[first].rung == 2)
+    peer.say(t="down", ref=first, c=16)
+    w.until(lambda: v.of("down", first))
+    assert not v.of("up") and not w.node.host.lives
