Lists reach the host before replaced streamers end; log lines are limited in rate

Need, from reading: viewings of a replaced streamer were ended before the host had the new list, and a tune-in decided on that could have gone to a streamer that had left; a connection reset while it was being accepted would have ended accepting, and a fault in a wake the timer; log lines came as fast as bad clients did.

Change: Streamers.replaced after Host.listed; those three go on; five lines of one kind a second, with how many were left out.

--- a/herongap/node/resolver.py
+++ b/herongap/node/resolver.py
@@ -32,6 +32,8 @@
                 heard = self._ask()
             except OSError as fault:
                 log.debug("resolver not asked", cause=str(fault))
+            except Exception:
+                log.exception("a fault of ours; the resolver is asked again")
             if heard and self.bad >= 8:
                 log.info("resolver back", after=self.bad)
             self.bad = 0 if heard else self.bad + 1
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -16,12 +16,14 @@
 from herongap.node.resolver import Resolver
 from herongap.node.streamers import Streamers
 from herongap.node.viewers import Viewers
+from herongap.node.wire import TRACE
 from herongap.platform.launch import Fault, Launch, read
 from herongap.platform.roster import Roster
 
 TEND = 0.25  # seconds between two looks at what has gone quiet
 FIGURES = 5.0  # seconds between two lines of figures in the log
 LOOK = 0.05  # seconds between two looks at how late the process is
+MOST = 5  # lines of one kind that are logged a second
 LISTEN_ON = 0.75  # seconds after SIGTERM for which new set-ups are taken
 log = structlog.get_logger()
 
@@ -112,6 +114,7 @@
     def _take(self, kind: str, roster: Roster) -> None:
         self.port.listed(roster.addresses)
         self.host.listed(self.clock(), kind, roster.lines.values())
+        self.port.replaced()
 
     def _feel(self) -> None:
         """How late this process comes to what it has set itself a time for."""
@@ -165,7 +168,7 @@
 
 def main() -> None:
     """The program: what it needs is in the environment, and what it cannot start with ends it with a word."""
-    observe.set_up(os.environ.get("HERONGAP_LOG", "info"), "json", "-")
+    observe.set_up(os.environ.get("HERONGAP_LOG", "info"), "json", "-", most=0 if TRACE else MOST)
     if not (path := os.environ.get("PROXY_CONFIG")):
         sys.exit("herongap: PROXY_CONFIG is not set")
     try:
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -82,11 +82,20 @@
         """Where each streamer of the newest list listens. One that has gone is kept while it plays for us."""
         now = self.clock()
         for name, address in addresses.items():
-            if name not in self.fars or self.fars[name].address != address:
+            if (far := self.fars.get(name)) is None:
                 self.fars[name] = Far(name, address, now)
-        taken = set(addresses.values())
+            elif far.address != address:
+                # Its own lines go with it; viewings that it still has are told of on the next.
+                far.address = address
+                for line in far.lines:
+                    line.finish()
         for name, far in self.fars.items():
             far.gone = name not in addresses
+
+    def replaced(self) -> None:
+        """To be called when the host has the list too: what ends here may be decided on anew at once."""
+        taken = {far.address for far in self.fars.values() if not far.gone}
+        for far in list(self.fars.values()):
             if far.gone and far.address in taken:
                 # Another one listens there now: whatever answers is not the one that played for us.
                 self._gone(far, "replaced")
@@ -154,7 +163,10 @@
                 self._woken.wait(None if left == float("inf") else left)
                 continue
             self.due = float("inf")
-            self.host.woke(self.clock())
+            try:
+                self.host.woke(self.clock())
+            except Exception:
+                log.exception("a fault of ours; the timer goes on")
 
     # Connections.
 
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -53,7 +53,10 @@
                 log.error("not accepted", cause=str(fault))
                 gevent.sleep(0.1)
                 continue
-            wire = Wire(sock, peer[0], self._heard, self._lost)
+            try:
+                wire = Wire(sock, peer[0], self._heard, self._lost)
+            except OSError:
+                continue  # reset before it was looked at
             self.wires.add(wire)
             for victim in self.crowd.came(self.clock(), wire, Wire.quiet):
                 victim.close("shed")
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -2,7 +2,10 @@
 
 from types import SimpleNamespace
 
+from structlog import DropEvent
+
 from herongap.crowd import DOUBT, LAG, MUTE, STALE, Crowd, worn
+from herongap.observe import Seldom
 
 
 def nobody(who):
@@ -77,3 +80,18 @@
     for _ in range(4):
         crowd.lagged(0.0)
     assert not crowd.swamped()
+
+
+def test_lines_of_one_kind_are_limited_and_what_was_left_out_is_counted():
+    now = [10.0]
+    seldom = Seldom(2, lambda: now[0])
+
+    def passes(event):
+        try:
+            return seldom(None, "info", {"event": event})
+        except DropEvent:
+            return None
+
+    assert [bool(passes("a")) for _ in range(4)] == [True, True, False, False] and passes("b")
+    now[0] = 11.0
+    assert passes("a") == {"event": "a", "left_out": 2} and passes("a") == {"event": "a"}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -395,3 +395,18 @@
     w.until(lambda: len(v.of("up")) == 2)
     waiting[0][0].close()
     w.until(lambda: len(s.peers) == 3)
+
+
+def test_another_id_at_a_streamers_address_ends_what_played_there(world):
+    w = world(streamers=2)
+    v = w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: v.of("up", ref))
+    old = w.node.host.lives[ref].streamer
+    same = w.streamers.pop(old)
+    w.streamers["s-00000009"] = same  # it answers tests all the while
+    w.resolver.serial += 1
+    w.until(lambda: v.of("down", ref))
+    again = w.ask(v)
+    w.until(lambda: v.of("up", again))
+    assert w.node.host.lives[again].streamer != old
