--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -151,11 +151,12 @@
         told.authority.append(dns.rrset.from_text("fleet.local.", 0, "IN", "SOA", soa))
         for i, (sid, streamer) in enumerate(world.streamers.items()):
             host, priority = f"{sid}.east.hosts.", int(sid in world.draining)
+            text = f'"kind=std" "cell={i}" "started={world.started.get(sid, 0)}"'
             port = streamer.address[1]
             told.answer += [dns.rrset.from_text(name, 0, "IN", "SRV", f"{priority} 40 {port} {host}")]
             told.additional += [
                 dns.rrset.from_text(host, 0, "IN", "A", "127.0.0.1"),
-                dns.rrset.from_text(host, 0, "IN", "TXT", f'"kind=std" "cell={i}" "started={world.started.get(sid, 0)}"'),
+                dns.rrset.from_text(host, 0, "IN", "TXT", text),
             ]
         return told.to_wire(max_size=8000)
 
