One alarm serves both shells; dead state and twin set-ups of tests go

Need, from reading the change again: the timer loop stood in both shells, Crowd counted what it shed and nobody read it, two tests set up the same viewings line by line.

Behaviour is as before.

--- a/herongap/crowd.py
+++ b/herongap/crowd.py
@@ -8,10 +8,7 @@
 from typing import NamedTuple
 
 MUTE = 2.0  # seconds in which a new connection must have said something, and a line must have ended
-
 LAG = 0.15  # seconds by which a process may come late to its own times before it turns set-ups away
-
-
 SPARE = 2  # idle connections to one streamer that are kept
 STALE = 10.0  # seconds after which an idle one beyond that is closed
 DOUBT = 1.0  # seconds that a connection to a streamer has to show that it lives
@@ -44,7 +41,6 @@
         self.most = most
         self.known: dict[Hashable, Known] = {}
         self.half: dict[Hashable, float] = {}
-        self.shed = 0
         self.behind = 0.0
 
     def lagged(self, seconds: float) -> None:
@@ -75,7 +71,6 @@
         victims = victims or [who]
         for victim in victims:
             self.went(victim)
-        self.shed += len(victims)
         return victims
 
     def spoke(self, now: float, who: Hashable) -> None:
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -10,6 +10,7 @@
 import h11
 import structlog
 
+from herongap.daemon.alarm import Alarm
 from herongap.daemon.events import Follower
 from herongap.daemon.journal import Entry, Journal
 from herongap.daemon.session import Remote, Session, read_remote
@@ -41,7 +42,7 @@
         self.followers: dict[tuple[Id, str], Follower] = {}
         self.on_over = lambda session, answer: None
         self.journal: Journal | None = None
-        self.due, self._woken = float("inf"), gevent.event.Event()
+        self.alarm = Alarm(clock)
 
     # The port.
 
@@ -122,8 +123,7 @@
         log.warning("no way to controllers", peer=peer)
 
     def wake(self, at: float) -> None:
-        self.due = at
-        self._woken.set()
+        self.alarm.set(at)
 
     def _keep(self, viewing: Id, known: Known) -> None:
         """Write a viewing down, before the effect that depends on it."""
@@ -142,14 +142,7 @@
 
     def run(self) -> None:
         """Wake the host whenever it asked to be; never returns."""
-        while True:
-            self._woken.clear()
-            left = self.due - self.clock()
-            if left > 0:
-                self._woken.wait(None if left == float("inf") else left)
-                continue
-            self.due = float("inf")
-            self.host.woke(self.clock())
+        self.alarm.run(self.host.woke)
 
     # What goes over the network.
 
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from herongap.crowd import worn
+from herongap.daemon.alarm import Alarm
 from herongap.host import Answer, Host, State
 from herongap.host.pulse import TESTED, Pulse, Word
 from herongap.interface import Asked, Ending, Load
@@ -72,7 +73,7 @@
         self.fars: dict[str, Far] = {}
         self.outs: dict[tuple[str, str], Out] = {}
         self.given_up: dict[tuple[str, str], float] = {}
-        self.due, self._woken = float("inf"), gevent.event.Event()
+        self.alarm = Alarm(clock)
         self._tests = count(1)
         self.probes: dict[str, tuple[str, float]] = {}
 
@@ -151,22 +152,17 @@
         log.warning("no way to controllers", peer=peer)
 
     def wake(self, at: float) -> None:
-        self.due = at
-        self._woken.set()
+        self.alarm.set(at)
 
     def run(self) -> None:
         """Wake the host whenever it asked to be; never returns."""
-        while True:
-            self._woken.clear()
-            left = self.due - self.clock()
-            if left > 0:
-                self._woken.wait(None if left == float("inf") else left)
-                continue
-            self.due = float("inf")
-            try:
-                self.host.woke(self.clock())
-            except Exception:
-                log.exception("a fault of ours; the timer goes on")
+        self.alarm.run(self._ring)
+
+    def _ring(self, now: float) -> None:
+        try:
+            self.host.woke(now)
+        except Exception:
+            log.exception("a fault of ours; the timer goes on")
 
     # Connections.
 
--- a/herongap/node/wire.py
+++ b/herongap/node/wire.py
@@ -102,9 +102,7 @@
                         log.exception("a fault of ours; the line is passed over", peer=self.peer)
                     if self.closed:
                         break
-        except TooLong as fault:
-            self.cause = self.cause or str(fault)
-        except OSError as fault:
+        except (TooLong, OSError) as fault:
             self.cause = self.cause or str(fault)
         finally:
             self.closed = True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -359,19 +359,24 @@
 PATIENT = [dict(SETTINGS["Grades"][0], Aim=6000.0, Deadline=9000.0), SETTINGS["Grades"][1]]
 
 
-def test_a_release_on_its_way_is_not_lost_with_a_connection_that_is_let_go(world):
-    w = world(streamers=1, Grades=PATIENT)
+def playing_at_once(w, viewer, number):
+    """Viewings whose set-ups were all open together, each on a connection; (peer, message) of each."""
     (s,) = w.streamers.values()
     waiting = []
     s.does = lambda peer, m: waiting.append((peer, m))
-    v = w.viewer()
-    refs = []
-    for i in range(4):
-        refs.append(w.ask(v, left="8000"))
+    for i in range(number):
+        w.ask(viewer, left="8000")
         w.until(lambda: len(waiting) == i + 1)  # noqa: B023
     for peer, m in waiting:
         s.plays(peer, m)
-    w.until(lambda: len(v.of("up")) == 4)
+    w.until(lambda: len(viewer.of("up")) == number)
+    return waiting
+
+
+def test_a_release_on_its_way_is_not_lost_with_a_connection_that_is_let_go(world):
+    w = world(streamers=1, Grades=PATIENT)
+    v = w.viewer()
+    waiting = playing_at_once(w, v, 4)
     lines = w.node.port.lines()
     assert len(lines) == 4
     for line in lines:
@@ -385,15 +390,7 @@
 def test_a_connection_that_breaks_while_idle_is_replaced_where_viewings_play(world):
     w = world(streamers=1, Grades=PATIENT)
     (s,) = w.streamers.values()
-    waiting = []
-    s.does = lambda peer, m: waiting.append((peer, m))
-    v = w.viewer()
-    for i in range(2):
-        w.ask(v, left="8000")
-        w.until(lambda: len(waiting) == i + 1)  # noqa: B023
-    for peer, m in waiting:
-        s.plays(peer, m)
-    w.until(lambda: len(v.of("up")) == 2)
+    waiting = playing_at_once(w, w.viewer(), 2)
     waiting[0][0].close()
     w.until(lambda: len(s.peers) == 3)
 
