A streamer that left the list is kept while a tune-in to it waits for its connection

Cause: node/streamers.py, tend(): a streamer that has left was forgotten when no connection of its carried a set-up. A tune-in whose connection is still coming up is on none. Its time-out then failed in call_off (self.fars[streamer]), after the host had taken it off its due times: no later time-out, no answer.

Change: it is forgotten when no tune-in to it is out and no connection to it is coming up (which also left such a connection to nobody). After a fault in a timer the host is woken again; it waited for the next input.

--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -23,6 +23,7 @@
 Address = tuple[str, int]
 log = structlog.get_logger()
 QUIET = 0.4  # seconds without a word after which one that plays for us is tested
+STUMBLE = 0.05  # seconds after a fault of ours until the host is woken again
 LATE = 15.0  # seconds for which the answer to a tune-in given up is known for what it is
 
 
@@ -163,6 +164,8 @@
             self.host.woke(now)
         except Exception:
             log.exception("a fault of ours; the timer goes on")
+            # The host was not asked what is due next.
+            self.alarm.set(now + STUMBLE)
 
     # Connections.
 
@@ -275,6 +278,7 @@
         """Once in a short while: are the streamers that play for us still there?"""
         now = self.clock()
         held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
+        tuned = {name for name, _ in self.outs}
         for far in list(self.fars.values()):
             for line in worn(now, far.lines, self.room()):
                 # Not closed at once: a release on its way here would be lost with it, and is never sent again
@@ -287,7 +291,9 @@
             if held[far.name]:
                 self._test_far(far, now)
                 continue
-            if far.gone and not any(line.outs for line in far.lines):
+            # A tune-in may still wait for its connection, on no line yet: were its streamer forgotten,
+            # the time-out could not call it off, and its viewer would never be answered.
+            if far.gone and far.name not in tuned and not far.connecting:
                 for line in list(far.lines):
                     line.close()
                 del self.fars[far.name]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -426,3 +426,41 @@
     # 20 places over 12 s, at 0.4 of its warmth, 2.5 times: under two a second, for all controllers together.
     assert len(w.streamers[sid].news) <= 2
     assert all(m["c"] == 34 for m in v.of("down"))
+
+
+def test_a_streamer_that_leaves_while_a_connection_to_it_comes_up_costs_nobody_an_answer(world):
+    w = world(streamers=1)
+    port = w.node.port
+    (name,) = w.streamers
+
+    def hangs(far, time_out):
+        gevent.sleep(time_out)
+        raise TimeoutError("timed out")
+
+    port._open = hangs
+    v = w.viewer()
+    ref = w.ask(v)
+    w.until(lambda: port.outs)
+    w.streamers.clear()
+    w.resolver.serial = 2
+    w.node.resolver.nudge.set()
+    w.until(lambda: port.fars[name].gone)
+    port.tend()
+    assert name in port.fars  # its tune-in is on no line yet, and has to be called off
+    w.until(lambda: v.of("down", ref))
+    port.tend()
+    assert name not in port.fars
+
+
+def test_the_timer_goes_on_after_a_fault_of_ours(world, monkeypatch):
+    w = world()
+    woken = []
+
+    def woke(now):
+        woken.append(now)
+        if len(woken) == 1:
+            raise RuntimeError("planted")
+
+    w.until(lambda: w.node.port.alarm.due < float("inf"))
+    monkeypatch.setattr(w.node.host, "woke", woke)
+    w.until(lambda: len(woken) == 2)
