The shares carried over the store by the daemon's feed, tried with lost answers and a death

Need: accord's machines had no carrier. daemon/budgets.py sends their commits as transactions on a mod revision and shows them what the watch has; the feed tells them of the lease, of the claim's revision, and of another cluster. The stand-in compares mod revisions and versions, and can withhold answers after a request was served.

Tested over two members: three feeds share 12, answers of all requests come too late for a second while one is short, one dies (its part is handed on after `outlasts`, not before), one leaves: the parts never sum above 12 at any revision. Not read from the INI and not asked by the module yet: nothing changes for a front.

--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -1,11 +1,13 @@
 """The gevent client of etcd: carries between sockets and the machines of `herongap.etcd`, which decide."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 import h11
 import structlog
 
+from herongap.accord import Terms
+from herongap.daemon.budgets import Budgets
 from herongap.daemon.feed import epoch
 from herongap.daemon.listen import read_address
 from herongap.daemon.remembered import Remembered
@@ -77,7 +79,7 @@
     """
 
     def __init__(self, terms: Etcd, number: int, expected: int, seed: int, name: str, clock: Callable,
-                 listed: Callable, counted: Callable):  # fmt: skip
+                 listed: Callable, counted: Callable, budgets: Iterable[Terms] = ()):  # fmt: skip
         self.terms, self.name, self.clock = terms, name, clock
         self.listed, self.counted = listed, counted
         self.client = Client(terms, name)
@@ -86,6 +88,11 @@
         self.directory = Directory(terms.prefix, epoch(clock))
         self.membership = Membership(number, expected, terms.ttl)
         self.key = f"{terms.prefix}controllers/{number}"
+        self.life, self.failing = -1, False  # the revision of our claim; whether a renewal has failed
+        wholes = tuple(budgets)
+        self.budgets = wholes and Budgets(
+            wholes, terms.prefix, number, terms.ttl, seed, clock, self._swap, NETWORK, self._claims
+        )
         self.store = Remembered(terms.remembered) if terms.remembered else None
         self.known_at: float | None = None  # when the list was last known to be whole
         self.from_store, self.place = False, None
@@ -113,6 +120,7 @@
             "drains": sorted(self.directory.drains),
             "controllers": controllers, "number": self.membership.number,
             "holds_number": self.membership.holds(now), "place": self.place and list(self.place),
+            "budgets": self.budgets.told() if self.budgets else {},
         }  # fmt: skip
 
     def start(self) -> list:
@@ -124,6 +132,7 @@
             self._publish("remembered", first=True)
             log.warning("list remembered", streamers=len(self.directory.streamers), revision=kept[1])
         runs = (self.follow, self._live, self._doubt, *((self._keep,) if self.store else ()))
+        runs += (self.budgets.run,) if self.budgets else ()
         return [gevent.spawn(run) for run in runs]
 
     # The list.
@@ -224,6 +233,10 @@
             if self.endpoints.foreign(self.clock(), address, cluster):
                 log.error("another cluster followed, every member names it", cluster=cluster)
                 self.follower.adopt(cluster)
+                if self.budgets:
+                    # Leases and revisions of the one before mean nothing in this one.
+                    self.membership.lapsed()
+                    self.budgets.set_back()
             return False
         return True
 
@@ -232,6 +245,8 @@
         if self._owed:
             kind = "whole"  # changes were taken and never told: a fault came between
         changes = self.follower.changes()
+        if self.budgets and self.follower.need is not Need.READ:
+            self.budgets.heard(self.follower.revision, self.follower.items)
         if not changes and kind == "changes":
             return
         self._owed = True
@@ -255,6 +270,7 @@
                     self._ask(step, now)
                 except NETWORK as fault:
                     self.membership.failed(self.clock())
+                    self.failing = True
                     log.warning("lease not kept", step=step.value, cause=repr(fault))
                     if isinstance(fault, Refused) and fault.code == m.NOT_FOUND:
                         self.membership.lapsed()
@@ -280,7 +296,10 @@
             case Step.CLAIM:
                 value = changed_value(None, name=self.name)
                 body = m.claim_body(self.key, value, self.membership.lease)
-                won = self.client.call(address, "/v3/kv/txn", body, m.Txn).won(self.membership.lease)
+                reply = self.client.call(address, "/v3/kv/txn", body, m.Txn)
+                won = reply.won(self.membership.lease)
+                if won:
+                    self.life = reply.header.revision if reply.succeeded else reply.found.create_revision
                 self.membership.claim_answered(self.clock(), now, won)
                 if not won:
                     log.warning("number held by another", key=self.key)
@@ -288,8 +307,27 @@
                 body = m.lease_body(self.membership.lease)
                 call = self.client.call(address, "/v3/lease/keepalive", body, _Kept)
                 self.membership.kept(now, call.result.TTL)
+                self.failing = False
+
+    def _swap(self, body: bytes) -> m.Txn:
+        """A transaction; one that another cluster answers is as good as unanswered."""
+        reply = self.client.call(self.endpoints.choose(self.clock()), "/v3/kv/txn", body, m.Txn)
+        if reply.header.cluster_id != self.follower.cluster:
+            raise m.Garbled(f"another cluster: {reply.header.cluster_id:x}")
+        return reply
+
+    def _claims(self) -> dict[str, int] | None:
+        """Each live controller's claim, None while the list does not follow."""
+        if not self.follower.watching:
+            return None
+        start = f"{self.terms.prefix}controllers/"
+        found = self.follower.items.items()
+        return {key.removeprefix(start): item.create for key, item in found if key.startswith(start)}
 
     def _reckon(self) -> None:
+        if self.budgets:
+            held = self.membership.holds(self.clock())
+            self.budgets.leased(self.life, self.membership.until, held, self.failing)
         live = None if self.known_at is None else self.directory.controllers
         place = self.membership.place(self.clock(), live)
         if place != self.place:
--- a/herongap/etcd/messages.py
+++ b/herongap/etcd/messages.py
@@ -98,10 +98,21 @@
     succeeded: bool = False
     responses: list[_Response] = []
 
+    @property
+    def found(self) -> KeyValue | None:
+        """What stood in the way; None where there was nothing, or nothing was asked."""
+        kvs = [kv for r in self.responses if r.response_range for kv in r.response_range.kvs]
+        return kvs[0] if kvs else None
+
     def won(self, lease: int) -> bool:
         """Whether the key is under that lease: put just now, or by a claim whose answer was lost."""
-        found = [kv for r in self.responses if r.response_range for kv in r.response_range.kvs]
-        return self.succeeded or any(kv.lease == lease for kv in found)
+        return self.succeeded or (self.found is not None and self.found.lease == lease)
+
+    @property
+    def shown(self) -> tuple[int, int, bytes | None]:
+        """After a swap that failed: the revision, the key's version and value; 0 and None without a key."""
+        found = self.found
+        return self.header.revision, found.mod_revision if found else 0, found.value if found else None
 
 
 class Put(msgspec.Struct):
@@ -174,6 +185,14 @@
     return msgspec.json.encode({"compare": [compare], "success": [put], "failure": [there]})
 
 
+def swap_body(key: str, base: int, value: bytes) -> bytes:
+    """Put a key if its mod revision is `base` still (0: if there is none), else read it."""
+    put = {"request_put": {"key": b64(key), "value": b64(value)}}
+    there = {"request_range": {"key": b64(key)}}
+    compare = {"key": b64(key), "target": "MOD", "result": "EQUAL", "mod_revision": str(base)}
+    return msgspec.json.encode({"compare": [compare], "success": [put], "failure": [there]})
+
+
 def grant_body(ttl: int) -> bytes:
     return msgspec.json.encode({"TTL": str(ttl), "ID": "0"})
 
--- a/herongap/standins/etcd.py
+++ b/herongap/standins/etcd.py
@@ -1,7 +1,7 @@
 """A stand-in etcd: one history, members that serve it over the JSON gateway, and faults set while it runs.
 
 Written from etcd's published API ("API reference", "KV API guarantees", grpc-gateway's JSON): revisions,
-history and compaction, leases with expiry, transactions on a create revision, watches with progress and
+history and compaction, leases with expiry, transactions that compare revisions, watches with progress and
 fragments, authentication with tokens. Not here: consensus. The members share one history; one that lags shows
 it as it was.
 """
@@ -166,12 +166,13 @@
 
 class Member:
     """One member. Faults: `lag` seconds behind, `stuck` at a revision, `slow` seconds for each answer,
-    `hold` seconds for each event, `repeat` of events, streams cut after `cut_after` bytes, another `cluster`.
+    `hold` seconds for each event, `withhold` seconds for each answer after its request was served, `repeat`
+    of events, streams cut after `cut_after` bytes, another `cluster`.
     """
 
     def __init__(self, etcd: Etcd, number: int):
         self.etcd, self.number = etcd, number
-        self.lag = self.slow = self.hold = 0.0
+        self.lag = self.slow = self.hold = self.withhold = 0.0
         self.stuck: int | None = None
         self.repeat, self.cut_after, self.cluster = False, 0, 0
         self.streams: set[object] = set()
@@ -241,7 +242,10 @@
                 "v3/lease/grant": self._grant, "v3/lease/keepalive": self._keep,
                 "v3/lease/revoke": self._revoke,
             }.get(path)  # fmt: skip
-            return serve(asked, who) if serve else _error(12, "Not Found", 404)
+            reply = serve(asked, who) if serve else _error(12, "Not Found", 404)
+            if self.withhold and path != "v3/watch":
+                gevent.sleep(self.withhold)
+            return reply
         except (ValueError, KeyError, TypeError) as fault:
             return _error(3, f"bad request: {fault!r}", 400)
 
@@ -287,9 +291,11 @@
         holds = True
         for compare in asked.get("compare", []):
             there = history.now_at.get(_bytes(compare["key"]))
-            if compare.get("target") != "CREATE" or compare.get("result", "EQUAL") != "EQUAL":
-                return _error(12, "this stand-in compares create revisions alone", 400)
-            holds &= (there["create"] if there else 0) == int(compare.get("create_revision", 0))
+            target = {"CREATE": "create", "MOD": "mod", "VERSION": "version"}.get(compare.get("target"))
+            if target is None or compare.get("result", "EQUAL") != "EQUAL":
+                return _error(12, "this stand-in compares revisions and versions for equality alone", 400)
+            wanted = compare.get(target if target == "version" else f"{target}_revision", 0)
+            holds &= (there[target] if there else 0) == int(wanted)
         responses = []
         for op in asked.get("success" if holds else "failure", []):
             name, inner = next(iter(op.items()))
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -12,6 +12,9 @@
 from minicheck import check_liveness, check_safety
 from test_rehearsal import DAY
 
+from herongap.accord import Division, Kind
+from herongap.accord import Terms as Whole
+from herongap.accord.shares import read as read_division
 from herongap.cli import main
 from herongap.daemon.etcd import Feed
 from herongap.daemon.remembered import Remembered
@@ -22,6 +25,7 @@
 from herongap.fleet.checker import check
 from herongap.fleet.day import read_day, script
 from herongap.fleet.figures import Outcome
+from herongap.fleet.settling import document
 from herongap.ini.site import Etcd as Terms
 from herongap.interface import Standing
 from herongap.standins.etcd import Etcd, History, fill, put
@@ -314,11 +318,12 @@
 class Watcher:
     """A feed on a stand-in, and what it told."""
 
-    def __init__(self, etcd, **terms):
+    def __init__(self, etcd, number=0, budgets=(), **terms):
         self.told, self.places = [], []
         quick = dict(endpoints=",".join(etcd.addresses), time_out=0.4, silent=2.0, ttl=2.0, keep=0.02)
         told = lambda *told: self.told.append(told), lambda *place: self.places.append(place)  # noqa: E731
-        self.feed = Feed(Terms(**(quick | terms)), 0, 2, 1, "herongap-0-1", time.monotonic, *told)
+        name, clock = f"h-{number}", time.monotonic
+        self.feed = Feed(Terms(**(quick | terms)), number, 2, 1, name, clock, *told, budgets)
         self.running = self.feed.start()
 
     def standing(self, name):
@@ -359,7 +364,7 @@
         drain(etcd, "s1")
         until(lambda: w.standing("s1") is Standing.LEAVING, 0.25)
         until(lambda: w.places and w.places[-1] == (0, 1))
-        assert w.feed.told()["controllers"] == {"0": "herongap-0-1"}
+        assert w.feed.told()["controllers"] == {"0": "h-0"}
         w.close()
         until(lambda: not any(b"controllers" in key for key in etcd.history.now_at), 1.0)
 
@@ -681,3 +686,45 @@
     assert not broken(drained, told, post(1.9, "f-2")), "another front, which was not told"
     assert not broken(drained, told, ended, post(1.9)), "the drain had ended"
     assert not broken(drained, ended, told, post(1.9)), "what is told late binds nobody"
+
+
+def test_a_whole_is_divided_over_the_store_though_answers_are_lost_and_one_dies():
+    whole = Whole("seats", Kind.HELD, 12, floor=1, linger=0.5)
+    with cluster(2) as etcd:
+        key = f"{PREFIX}budgets/seats"
+        etcd.history.put(key.encode(), document(Division(12, True, 1, {})))
+        all_ = [Watcher(etcd, n, (whole,)) for n in range(3)]
+        shares = [w.feed.budgets.shares["seats"] for w in all_]
+
+        def parts():
+            return read_division(json.loads(etcd.history.now_at[key.encode()]["value"])["body"]).parts
+
+        until(lambda: len(parts()) == 3 and sum(p.amount for p in parts().values()) == 12)
+        until(lambda: all(s.room(time.monotonic()) > 0 for s in shares))
+        for _ in range(3):
+            shares[0].began(time.monotonic())
+        # Answers come too late to be heard, while one is short and the others give back.
+        for member in etcd.members:
+            member.withhold = 0.6
+        for _ in range(8):
+            shares[0].refused(time.monotonic())
+        gevent.sleep(1.0)
+        for member in etcd.members:
+            member.withhold = 0.0
+        assert sum(w.feed.budgets.unknown for w in all_) > 0
+        until(lambda: not any(s.ledger.doubt for s in shares))
+        # One dies: its part is handed on when its lease is over and what it held has lingered.
+        dead = parts()["2"]
+        gevent.killall(all_[2].running)
+        at = time.monotonic()
+        until(lambda: "2" not in parts())
+        assert time.monotonic() - at > whole.outlasts and dead.amount > 0
+        until(lambda: sum(p.amount for p in parts().values()) >= 11)
+        # One leaves: it is gone at once.
+        all_[1].feed.budgets.leave()
+        until(lambda: all_[1].feed.budgets.left and "1" not in parts(), 1.0)
+        for _, _, value in [e for e in etcd.history.events if e[1] == key.encode()]:
+            d = read_division(json.loads(value["value"])["body"])
+            assert sum(p.amount for p in d.parts.values()) <= d.whole
+        for w in all_:
+            w.close()
