Wants follow use, so that a part moves where it is needed; use of the whole and its cost measured

Change: a want is what is used and what was turned away lately; who is at its limit asks before the next is turned away; who has more answers only while what is free does not cover what others lack.

The module: a turn at a cold streamer that was set in a crowd is not kept beyond the present turns, nor over a new count of controllers.

--- a/herongap/accord/shares.py
+++ b/herongap/accord/shares.py
@@ -26,13 +26,13 @@
 
 from herongap.accord.ledger import Commit, Ledger, Outcome
 
-REACT = 2.0  # seconds that a change of parts may take: what comes meanwhile is wanted ahead
+REACT = 2.0  # seconds for which what was turned away is wanted
 MARGIN = 0.5  # seconds and
 DRIFT = 0.1  # part of a time by which clocks may stray from each other while it passes
-CALM = 0.5  # seconds between two changes that nobody is waiting for
-SPREAD = 0.2  # seconds over which controllers answer to one that is short
+CALM = 0.1  # seconds between two changes that nobody is waiting for
+SPREAD = 0.05  # seconds over which controllers answer to one that is short
 AGAIN = 0.02  # seconds after a lost race, and more by chance the oftener it is lost
-STEP = 0.125  # part of its share by which a controller's want must move to be told
+STEP = 0.25  # part of its goal by which a want must move to be told though nobody waits for it
 
 
 class Kind(Enum):
@@ -144,7 +144,7 @@
         self.lives: set[int] = set()
         self.failing = self.leaving = self.recount = False
         self.used, self.ghosts = 0, (0, float("-inf"))
-        self.recent: deque[tuple[float, int]] = deque()  # times at which a use was wanted: 1 begun, 0 refused
+        self.recent: deque[float] = deque()  # when something was turned away
         self.begun_at: deque[float] = deque()
         self.division: Division | None = None
         self.bad = ""
@@ -204,11 +204,11 @@
 
     def began(self, now: float) -> None:
         """Something leaves that counts."""
-        self.recent.append((now, 1))
         if self.terms.kind is Kind.HELD:
             self.used += 1
         else:
             self.begun_at.append(now)
+        self._hurry(now)
 
     def ended(self, now: float) -> None:
         """Something held is over."""
@@ -217,8 +217,8 @@
 
     def refused(self, now: float) -> None:
         """Something was turned away for want of room."""
-        self.recent.append((now, 0))
-        self.due = min(self.due, max(now, self.calm))
+        self.recent.append(now)
+        self._hurry(now)
 
     def overdue(self, now: float) -> int:
         """How much of what is held must be ended now, as its part may be handed on."""
@@ -230,8 +230,8 @@
         return self.used if now >= self.right + self.terms.linger else 0
 
     def want(self, now: float) -> int:
-        """What could be used before a change can be had: what is, and as much as came in that time."""
-        while self.recent and self.recent[0][0] <= now - REACT:
+        """What is used, and what was turned away lately. What may come is what the spare is for."""
+        while self.recent and self.recent[0] <= now - REACT:
             self.recent.popleft()
         return max(self.terms.floor, self.use(now) + len(self.recent))
 
@@ -285,6 +285,11 @@
 
     # Inside.
 
+    def _hurry(self, now: float) -> None:
+        # The next may find nothing left: the others are asked now, not when it has been turned away.
+        if not self.room(now):
+            self.due = min(self.due, max(now, self.calm))
+
     def _part(self) -> Part | None:
         return self.division.parts.get(self.me) if self.division else None
 
@@ -376,15 +381,14 @@
         goal = goals(max(0, d.whole), {m: p.want for m, p in wanted.parts.items()})[self.me]
         free = max(0, d.free)
         amount = max(goal, use) if goal < part.amount else part.amount + min(goal - part.amount, free)
-        slack = max(1, int(STEP * goal))
-        short = want > part.amount and (amount > part.amount or want - part.want >= slack)
-        owed = amount < part.amount and (
-            d.free < 0 or any(p.want > p.amount for m, p in d.parts.items() if m != self.me)
-        )
-        calm = abs(amount - part.amount) > slack or abs(want - part.want) > slack
-        if not (short or owed or calm):
+        # Others' lack, as they have told it: one whose part is all wanted will need the next as well.
+        lack = sum(max(0, p.want + 1 - p.amount) for m, p in d.parts.items() if m != self.me)
+        near = want >= part.amount and (amount > part.amount or want > part.want)
+        owed = amount < part.amount and (d.free < 0 or lack > free)
+        stale = abs(want - part.want) > max(2, int(STEP * goal))
+        if not (near or owed or stale):
             return None
-        return d.changed(self.me, part._replace(amount=amount, want=want))
+        return d.changed(self.me, part._replace(amount=amount if near or owed else part.amount, want=want))
 
     def _chance(self) -> float:
         self.draws += 1
--- a/herongap/fleet/settling.py
+++ b/herongap/fleet/settling.py
@@ -183,15 +183,17 @@
     """`count` controllers, one store, `terms` of the budgets. `make` builds the shares of a process."""
 
     def __init__(self, seed: int, count: int, terms: tuple[Terms, ...], net: Net = CALM, ttl: float = 5.0,
-                 demand: float = 2.0, lasts: float = 2.0, make=Shares, drift: float = 0.05):  # fmt: skip
+                 demand: float = 2.0, lasts: float = 2.0, make=Shares, drift: float = 0.05,
+                 waits: float = 0.0):  # fmt: skip
         self.random, self.net, self.ttl, self.terms, self.make = Random(seed), net, ttl, terms, make
-        self.expected, self.drift, self.lasts = count, drift, lasts
+        self.expected, self.drift, self.lasts, self.waits = count, drift, lasts, waits
         self.now, self.backs, self._order, self._due = 0.0, 0, 0, []
         self.store = Store()
         self.demand = {number: demand for number in range(count)}
+        self.arrivals = {number: Random(f"{seed}:{number}") for number in range(count)}
         self.processes: dict[int, Process] = {}
         # The truth: what is held by whom (a dead process's stays), what was begun when, and each whole.
-        self.held: dict[str, dict[int, tuple[Process, bool]]] = {t.name: {} for t in terms}
+        self.held: dict[str, dict[int, Process]] = {t.name: {} for t in terms}
         self.sent: dict[str, deque] = {t.name: deque() for t in terms}
         self.whole = {t.name: t.whole for t in terms}
         self.summed = dict.fromkeys(self.whole, 0)
@@ -210,7 +212,7 @@
         rate = 1 + self.random.uniform(-self.drift, self.drift)
         process = self.processes[number] = Process(self, number, rate)
         self.after(self.random.random() * TICK, self._tick, process)
-        self.after(self.random.expovariate(1) / max(0.01, self.demand[number]), self._arrive, process)
+        self._next(process)
 
     def kill(self, number: int) -> None:
         """Nothing of it is left but what streamers still play, each for its budget's `linger` at most."""
@@ -219,7 +221,7 @@
             return
         process.alive = False
         for t in self.terms:
-            for thing, (owner, _) in self.held[t.name].items():
+            for thing, owner in self.held[t.name].items():
                 if owner is process:
                     self.after(self.random.uniform(0, t.linger), self._over, t.name, thing)
 
@@ -228,7 +230,7 @@
         if process := self.processes.get(number):
             for name, shares in process.shares.items():
                 shares.leaving, shares.due = True, 0.0
-                while any(owner is process for owner, _ in self.held[name].values()):
+                while any(owner is process for owner in self.held[name].values()):
                     self.end_one(process, name)
             self.after(1.0, self.kill_if, process)
 
@@ -328,7 +330,7 @@
                 self.after(self._way(), self._hear, process, process._shown, got)
 
     def end_one(self, process: Process, name: str) -> None:
-        for thing, (owner, _) in self.held[name].items():
+        for thing, owner in self.held[name].items():
             if owner is process:
                 self._over(name, thing)
                 return
@@ -369,27 +371,41 @@
             for shares in process.shares.values():
                 shares.set_back()
 
+    def _next(self, process: Process) -> None:
+        # Drawn apart from all else, so that the same come in the same moments however they fare.
+        gap = self.arrivals[process.number].expovariate(1) / max(0.01, self.demand[process.number])
+        self.after(gap, self._arrive, process)
+
     def _arrive(self, process: Process) -> None:
-        if not process.alive:
-            return
-        demand = max(0.01, self.demand[process.number])
-        self.after(self.random.expovariate(1) / demand, self._arrive, process)
-        if not process.paused:
-            self._wanted(process)
+        lasts = self.arrivals[process.number].expovariate(1) * self.lasts
+        if process.alive:
+            self._next(process)
+            if not process.paused:
+                self._wanted(process, lasts)
 
-    def _wanted(self, process: Process) -> None:
+    def _wanted(self, process: Process, lasts: float = 1.0) -> None:
         for t in self.terms:
-            shares, now = process.shares[t.name], process.clock()
             self.asked += 1
-            if shares.room(now) < 1:
-                self.turned += 1
-                shares.refused(now)
-                continue
+            self._try(process, t, lasts, self.waits)
+
+    def _try(self, process: Process, t: Terms, lasts: float, left: float) -> None:
+        """Begin it if there is room, now or within `left`: so long a viewing waits before it is blocked."""
+        if not process.alive or process.paused:
+            return
+        shares, now = process.shares[t.name], process.clock()
+        if shares.room(now) >= 1:
             self.let_in += 1
             shares.began(now)
-            self._begin(process, t)
-
-    def _begin(self, process: Process, t: Terms) -> None:
+            self._begin(process, t, lasts)
+            return
+        if left == self.waits:
+            shares.refused(now)
+        if left >= TICK:
+            self.after(TICK, self._try, process, t, lasts, left - TICK)
+        else:
+            self.turned += 1
+
+    def _begin(self, process: Process, t: Terms, lasts: float) -> None:
         if t.kind is Kind.RATE:
             sent = self.sent[t.name]
             sent.append(self.now)
@@ -400,23 +416,21 @@
             return
         self._things += 1
         held = self.held[t.name]
-        held[self._things] = process, True
+        held[self._things] = process
         if len(held) > self.bound(t.name):
             self.broken.append(f"{self.now:.2f} {t.name}: {len(held)} held")
         # `linger` is a promise about streamers, not about controllers: one that is stopped ends nothing.
-        lasts = min(self.random.expovariate(1) * self.lasts, t.linger)
-        self.after(lasts, self._over, t.name, self._things)
+        self.after(min(lasts, t.linger), self._over, t.name, self._things)
 
     def bound(self, name: str) -> int:
         """What may be in use: the whole, or the parts that were given out before it was lowered."""
         return max(self.whole[name], self.summed[name])
 
     def _over(self, name: str, thing: int) -> None:
-        if found := self.held[name].pop(thing, None):
-            process = found[0]
-            if process.alive:
-                # One that is paused hears of it when it goes on; until then it believes it holds it.
-                self._deliver(process, lambda: process.shares[name].ended(process.clock()), ())
+        process = self.held[name].pop(thing, None)
+        if process and process.alive:
+            # One that is paused hears of it when it goes on; until then it believes it holds it.
+            self._deliver(process, lambda: process.shares[name].ended(process.clock()), ())
 
 
 def document(division: Division) -> bytes:
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -278,6 +278,8 @@
     def counted(self, now: float, me: int | None, controllers: int) -> None:
         """How many controllers live and which of them this is, None while others may not reckon with it."""
         self.me, self.controllers, self.look = me, controllers, True
+        for st in self.streamers.values():
+            st.turn = -1
         self.ahead = AHEAD * (1 - 1 / controllers)
 
     def woke(self, now: float) -> None:
@@ -443,12 +445,12 @@
 
     def next_turn(self, now: float, st: Streamer) -> int:
         """The slot in which this controller may next send something to a cold streamer: now, or later."""
-        slot = int(now / self.slot)
-        if st.turn < slot:
-            # No more share a slot than viewings share a streamer: among hundreds, each would wait for
-            # minutes. Those that wait for room all meet at the streamer that has just started.
-            much = len(self.viewings) + RUSH * len(self.waiting)
-            turns = min(self.controllers, 1 + much * self.controllers // len(self.streamers))
+        # No more share a slot than viewings share a streamer: among hundreds, each would wait for minutes.
+        # Those that wait for room all meet at the streamer that has just started.
+        slot, much = int(now / self.slot), len(self.viewings) + RUSH * len(self.waiting)
+        turns = min(self.controllers, 1 + much * self.controllers // len(self.streamers))
+        # A turn that was set is kept, or each viewing more would move it; one set in a crowd not beyond that.
+        if not slot <= st.turn < slot + turns:
             # Each streamer's turns fall elsewhere: where several holders are cold, one of them is soon due.
             st.turn = slot + (self.me + st.phase - slot) % turns
         return st.turn
