One call for the lease, one reader of a division, one heap of due calls for the model

Read once more, and found twice: how a lease stands was told in three calls by the daemon and by the model alike (Shares.leased now); a document's form stood in the ledger, the model and the tests (Document, write, divided); the model had a heap of its own beside fleet/clock.py (World is a Clock); claim and swap were one transaction in two texts. Work saved: a division is read when its document has changed, not at every word from the store, and the live claims are gathered when a budget is due, not at every look. Unused state and parameters of the model go.

--- a/herongap/accord/ledger.py
+++ b/herongap/accord/ledger.py
@@ -32,11 +32,29 @@
     mark: str
 
 
-class _Document(msgspec.Struct):
+class Document(msgspec.Struct):
+    """What stands under the key: `marks` are each writer's newest commit."""
+
     v: int
     marks: dict[str, str] = {}
     body: Any = None
 
+    @classmethod
+    def read(cls, data: bytes) -> "Document":
+        """Raises ValueError with the reason."""
+        try:
+            found = msgspec.json.decode(data, type=cls)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+            raise ValueError(str(fault)) from fault
+        if found.v != VERSION:
+            raise ValueError(f"version {found.v}, known is {VERSION}")
+        return found
+
+
+def write(body: Any, marks: dict[str, str] | None = None) -> bytes:
+    """A document's bytes; without marks as one that no writer has committed to."""
+    return msgspec.json.encode(Document(VERSION, marks or {}, body))
+
 
 class Ledger:
     """One writer's view of the document. `life` tells its processes apart, and must never be used twice.
@@ -78,8 +96,8 @@
             return None
         self.count += 1
         mark = f"{self.life}.{self.count}"
-        document = _Document(VERSION, self.marks | {self.me: mark}, body)
-        self.out, self.doubt = Commit(self.version, msgspec.json.encode(document), mark), False
+        data = write(body, self.marks | {self.me: mark})
+        self.out, self.doubt = Commit(self.version, data, mark), False
         return self.out
 
     def answered(
@@ -89,9 +107,7 @@
 
         It may be the late answer to one that was resolved long ago by what was read.
         """
-        if not won:
-            return self.shown(revision, version, data)
-        return self.shown(revision, revision, commit.data)
+        return self.shown(revision, revision, commit.data) if won else self.shown(revision, version, data)
 
     def unanswered(self) -> None:
         """No answer came, or one that does not say. `again` tells what is to be sent now."""
@@ -111,11 +127,8 @@
         if data is None:
             return
         try:
-            found = msgspec.json.decode(data, type=_Document)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+            found = Document.read(data)
+        except ValueError as fault:
             self.bad = str(fault)
             return
-        if found.v != VERSION:
-            self.bad = f"version {found.v}, known is {VERSION}"
-            return
         self.body, self.marks = found.body, found.marks
--- a/herongap/accord/shares.py
+++ b/herongap/accord/shares.py
@@ -24,12 +24,12 @@
 from typing import NamedTuple
 from zlib import crc32
 
-from herongap.accord.ledger import Commit, Ledger, Outcome
+from herongap.accord.ledger import Commit, Document, Ledger, Outcome
 
 REACT = 2.0  # seconds for which what was turned away is wanted
 MARGIN = 0.5  # seconds and
 DRIFT = 0.1  # part of a time by which clocks may stray from each other while it passes
-CALM = 0.1  # seconds between two changes that nobody is waiting for
+CALM = 0.1  # seconds between two changes of one part
 SPREAD = 0.05  # seconds over which controllers answer to one that is short
 AGAIN = 0.02  # seconds after a lost race, and more by chance the oftener it is lost
 STEP = 0.25  # part of its goal by which a want must move to be told though nobody waits for it
@@ -110,6 +110,11 @@
     return found
 
 
+def divided(data: bytes) -> Division:
+    """The division in a document's bytes; raises ValueError."""
+    return read(Document.read(data).body)
+
+
 def goals(whole: int, wants: Mapping[str, int]) -> dict[str, int]:
     """What each should have: the smaller wants in full, the others alike, what is spare evenly on top.
 
@@ -147,7 +152,7 @@
         self.recent: deque[float] = deque()  # when something was turned away
         self.begun_at: deque[float] = deque()
         self.division: Division | None = None
-        self.bad = ""
+        self._read, self._unfit = None, ""  # the body that the division was read from; what was wrong with it
         self.promised: int | None = None  # what our commit that is out would leave us
         self.due, self.calm, self.lost, self.draws = 0.0, 0.0, 0, 0
         self.absent: dict[tuple[str, int], float] = {}
@@ -155,26 +160,29 @@
 
     # The lease, as `Membership` has it.
 
-    def claimed_at(self, life: int, until: float) -> None:
-        """Our number is ours, by the claim that made its key at revision `life`; `until` is ours."""
+    def leased(self, life: int, until: float, holds: bool, failing: bool = False) -> None:
+        """How our number stands: ours by the claim that made its key at revision `life`, until `until` by our
+        clock; `failing` if a renewal has failed. Without `holds` it is anybody's, and may be claimed anew.
+        """
+        self.failing = failing
+        if not holds:
+            self.claimed = -1
+            return
         self.claimed = self.ledger.life = life
         self.lives.add(life)
-        self.kept(until)
-
-    def kept(self, until: float) -> None:
-        """The lease was renewed."""
-        self.until, self.failing = until, False
+        self.until = until
         if self._entered():
             self.right = until
 
-    def gone(self) -> None:
-        """The lease is lost, or may be: its number is anybody's, and may be claimed anew."""
-        self.claimed = -1
-
     def recovered(self, now: float, used: int) -> None:
         """What an earlier process of this number held has been counted: so much of it is held on here."""
         self.used, self.ghosts = used, (0, now)
 
+    @property
+    def bad(self) -> str:
+        """Why the document cannot be used, "" if it can."""
+        return self.ledger.bad or self._unfit
+
     # What is used.
 
     def mine(self, now: float) -> int:
@@ -255,7 +263,7 @@
 
     def set_back(self) -> None:
         """The store is another one, or an older copy: uses are counted anew before anybody gets more."""
-        self.gone()
+        self.claimed = -1
         self.ledger.forget()
         self.division, self.promised, self.recount = None, None, True
         self.absent.clear()
@@ -298,12 +306,14 @@
         return part is not None and self.claimed >= 0 and part.life == self.claimed
 
     def _took(self, now: float, outcome: Outcome | None) -> Outcome | None:
-        self.division, self.bad = None, self.ledger.bad
-        if self.ledger.body is not None:
-            try:
-                self.division = read(self.ledger.body)
-            except ValueError as fault:
-                self.bad = str(fault)
+        if self.ledger.body is not self._read:
+            # Told at every word from the store, of which few are about this document.
+            self._read, self.division, self._unfit = self.ledger.body, None, ""
+            if self._read is not None:
+                try:
+                    self.division = read(self._read)
+                except ValueError as fault:
+                    self._unfit = str(fault)
         if self._entered():
             self.right = max(self.right, self.until)
         if outcome is None:
--- a/herongap/daemon/budgets.py
+++ b/herongap/daemon/budgets.py
@@ -44,13 +44,7 @@
     def leased(self, life: int, until: float, holds: bool, failing: bool) -> None:
         """How our number stands: by which claim it is ours, until when, and whether a renewal has failed."""
         for shares in self.shares.values():
-            if not holds:
-                shares.gone()
-            elif shares.claimed != life:
-                shares.claimed_at(life, until)
-            else:
-                shares.kept(until)
-            shares.failing = failing
+            shares.leased(life, until, holds, failing)
 
     def set_back(self) -> None:
         """The store is another one than before."""
@@ -73,8 +67,9 @@
         """Commit what is due, for ever; each on a greenlet of its own, so that none waits for another."""
         while True:
             try:
-                live = self.live()
-                for shares in self.shares.values():
+                due = [shares for shares in self.shares.values() if shares.due <= self.clock()]
+                live = self.live() if due else None
+                for shares in due:
                     if (commit := shares.step(self.clock(), live)) is not None:
                         gevent.spawn(self._send, shares, commit)
             except Exception:
--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -1,6 +1,6 @@
 """The gevent client of etcd: carries between sockets and the machines of `herongap.etcd`, which decide."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import gevent
 import h11
@@ -79,7 +79,7 @@
     """
 
     def __init__(self, terms: Etcd, number: int, expected: int, seed: int, name: str, clock: Callable,
-                 listed: Callable, counted: Callable, budgets: Iterable[Terms] = ()):  # fmt: skip
+                 listed: Callable, counted: Callable, budgets: tuple[Terms, ...] = ()):  # fmt: skip
         self.terms, self.name, self.clock = terms, name, clock
         self.listed, self.counted = listed, counted
         self.client = Client(terms, name)
@@ -89,10 +89,8 @@
         self.membership = Membership(number, expected, terms.ttl)
         self.key = f"{terms.prefix}controllers/{number}"
         self.life, self.failing = -1, False  # the revision of our claim; whether a renewal has failed
-        wholes = tuple(budgets)
-        self.budgets = wholes and Budgets(
-            wholes, terms.prefix, number, terms.ttl, seed, clock, self._swap, NETWORK, self._claims
-        )
+        carries = self._swap, NETWORK, self._claims
+        self.budgets = budgets and Budgets(budgets, terms.prefix, number, terms.ttl, seed, clock, *carries)
         self.store = Remembered(terms.remembered) if terms.remembered else None
         self.known_at: float | None = None  # when the list was last known to be whole
         self.from_store, self.place = False, None
--- a/herongap/etcd/messages.py
+++ b/herongap/etcd/messages.py
@@ -179,18 +179,19 @@
 
 def claim_body(key: str, value: bytes, lease: int) -> bytes:
     """Put a key under a lease if nobody holds it (a transaction on its create revision), else read it."""
-    put = {"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}
-    there = {"request_range": {"key": b64(key)}}
-    compare = {"key": b64(key), "target": "CREATE", "result": "EQUAL", "create_revision": "0"}
-    return msgspec.json.encode({"compare": [compare], "success": [put], "failure": [there]})
+    return _put_if(key, {"value": b64(value), "lease": str(lease)}, target="CREATE", create_revision="0")
 
 
 def swap_body(key: str, base: int, value: bytes) -> bytes:
     """Put a key if its mod revision is `base` still (0: if there is none), else read it."""
-    put = {"request_put": {"key": b64(key), "value": b64(value)}}
-    there = {"request_range": {"key": b64(key)}}
-    compare = {"key": b64(key), "target": "MOD", "result": "EQUAL", "mod_revision": str(base)}
-    return msgspec.json.encode({"compare": [compare], "success": [put], "failure": [there]})
+    return _put_if(key, {"value": b64(value)}, target="MOD", mod_revision=str(base))
+
+
+def _put_if(key: str, put: dict, **equal: str) -> bytes:
+    there = {"key": b64(key)}
+    compare = there | {"result": "EQUAL"} | equal
+    success, failure = [{"request_put": there | put}], [{"request_range": there}]
+    return msgspec.json.encode({"compare": [compare], "success": success, "failure": failure})
 
 
 def grant_body(ttl: int) -> bytes:
--- a/herongap/fleet/settling.py
+++ b/herongap/fleet/settling.py
@@ -7,16 +7,15 @@
 """
 
 from collections import deque
-from heapq import heappop, heappush
 from itertools import count
 from random import Random
 from typing import NamedTuple
 
-import msgspec
-
-from herongap.accord import Kind, Shares, Terms
-from herongap.accord.shares import Division, read
+from herongap.accord import Division, Kind, Shares, Terms
+from herongap.accord.ledger import Document, write
+from herongap.accord.shares import divided
 from herongap.etcd.membership import Membership, Step
+from herongap.fleet.clock import Clock
 
 TICK = 0.05  # seconds between two looks of a controller at what is due
 PATIENCE = 1.0  # seconds after which a request counts as unanswered
@@ -40,16 +39,16 @@
 
     def __init__(self):
         self.revision, self.documents, self.numbers, self.leases = 1, {}, {}, {}
-        self.ids, self.copies, self.away = count(1), {}, False
+        self.ids, self.away = count(1), False
         self.writes = self.refused = 0
 
     def keep(self) -> None:
         """Make the copy that `set_back` brings back."""
-        self.copy = self.revision, dict(self.documents), dict(self.numbers)
+        self.copy = dict(self.documents), dict(self.numbers)
 
     def set_back(self) -> None:
         """As after a restore: a revision of its own, so that everybody sees that it is another store."""
-        _, documents, numbers = self.copy
+        documents, numbers = self.copy
         self.revision += 1
         self.documents = {name: (self.revision, data) for name, (_, data) in documents.items()}
         self.numbers = {n: held for n, held in numbers.items() if held[1] in self.leases}
@@ -84,8 +83,7 @@
         self.paused = self.deaf = False
         self.alive = True
         self.mail: deque = deque()
-        self.asked_at: dict[str, float] = {}
-        self.busy = False
+        self.busy = self.failing = False
         self.read_due = 0.0
         self.backs = world.backs  # which store it believes in
 
@@ -99,13 +97,8 @@
             self._lease(step, now)
         holds = self.member.holds(now)
         for shares in self.shares.values():
-            if not holds:
-                shares.gone()
-            elif shares.claimed != self.life:
-                shares.claimed_at(self.life, self.member.until)
-            else:
-                shares.kept(self.member.until)
-            if (commit := shares.step(now, world.live(self))) is not None:
+            shares.leased(self.life, self.member.until, holds, self.failing)
+            if (commit := shares.step(now, world.live())) is not None:
                 self._commit(shares, commit)
             for _ in range(shares.overdue(now)):
                 world.end_one(self, shares.terms.name)
@@ -123,7 +116,7 @@
             self.shares[name].shown(self.clock(), revision, version, data)
 
     def _commit(self, shares: Shares, commit) -> None:
-        now, store, backs = self.clock(), self.world.store, self.backs
+        store, backs = self.world.store, self.backs
         name = shares.terms.name
 
         def serve() -> tuple:
@@ -131,7 +124,7 @@
                 return False, *store.documents.get(name, (0, None)), store.revision
             won, version, data = store.commit(name, commit.base, commit.data)
             if won:
-                self.world.written(name, data)
+                self.world.written(name)
             return won, version, data, store.revision
 
         def heard(got: tuple) -> None:
@@ -139,7 +132,7 @@
             if backs == self.backs == self.world.backs:
                 shares.answered(self.clock(), commit, version if won else revision, won, version, data)
 
-        self.world.ask(self, serve, heard, lambda: shares.unanswered(self.clock(), commit), now)
+        self.world.ask(self, serve, heard, lambda: shares.unanswered(self.clock(), commit))
 
     def _lease(self, step: Step, sent: float) -> None:
         store, member, ttl, lease = self.world.store, self.member, self.world.ttl, self.member.lease
@@ -166,28 +159,28 @@
             elif step is Step.KEEP:
                 if member.lease == lease:
                     member.kept(sent, got[1])
+                    self.failing = False
             elif member.lease == lease:
                 self.life = got[0]
                 member.claim_answered(self.clock(), sent, got[0] >= 0)
 
         def failed() -> None:
-            self.busy = False
+            self.busy, self.failing = False, True
             member.failed(self.clock())
-            for shares in self.shares.values():
-                shares.failing = True
 
-        self.world.ask(self, serve, heard, failed, sent)
+        self.world.ask(self, serve, heard, failed)
 
 
-class World:
+class World(Clock):
     """`count` controllers, one store, `terms` of the budgets. `make` builds the shares of a process."""
 
     def __init__(self, seed: int, count: int, terms: tuple[Terms, ...], net: Net = CALM, ttl: float = 5.0,
                  demand: float = 2.0, lasts: float = 2.0, make=Shares, drift: float = 0.05,
                  waits: float = 0.0):  # fmt: skip
+        super().__init__()
         self.random, self.net, self.ttl, self.terms, self.make = Random(seed), net, ttl, terms, make
         self.expected, self.drift, self.lasts, self.waits = count, drift, lasts, waits
-        self.now, self.backs, self._order, self._due = 0.0, 0, 0, []
+        self.backs = 0
         self.store = Store()
         self.demand = {number: demand for number in range(count)}
         self.arrivals = {number: Random(f"{seed}:{number}") for number in range(count)}
@@ -201,7 +194,7 @@
         self.asked = self.let_in = self.turned = self.unknown = 0
         self._things = 0
         for t in terms:
-            self.store.commit(t.name, 0, document(Division(t.whole, True, 1, {})))
+            self.store.commit(t.name, 0, write(Division(t.whole, True, 1, {}).body()))
         self.store.keep()
         for number in range(count):
             self.start(number)
@@ -263,31 +256,20 @@
     def lower(self, name: str, whole: int) -> None:
         """An operator changes the whole."""
         version, data = self.store.documents[name]
-        there = msgspec.json.decode(data)
-        there["body"]["whole"] = whole
+        there = Document.read(data)
         self.whole[name] = whole
-        self.store.commit(name, version, msgspec.json.encode(there))
+        self.store.commit(name, version, write(there.body | {"whole": whole}, there.marks))
 
     # What goes on in it.
 
-    def run(self, until: float) -> None:
-        while self._due and self._due[0][0] <= until:
-            self.now, _, what, args = heappop(self._due)
-            what(*args)
-        self.now = until
-
-    def after(self, seconds: float, what, *args) -> None:
-        self._order += 1
-        heappush(self._due, (self.now + seconds, self._order, what, args))
-
-    def live(self, process: Process) -> dict[str, int] | None:
+    def live(self) -> dict[str, int]:
         """The live controllers and their claims, as they are."""
         return {str(n): revision for n, (revision, _) in self.store.numbers.items()}
 
-    def ask(self, process: Process, serve, heard, failed=lambda: None, sent: float = 0.0) -> None:
+    def ask(self, process: Process, serve, heard, failed=lambda: None) -> None:
         """A request that may be lost, doubled or late, and an answer that may be."""
         net, chance = self.net, self.random.random
-        state = {"over": False}
+        over = False
 
         def arrives(answers: bool) -> None:
             if self.store.away:
@@ -298,13 +280,15 @@
                 self.after(self._way(), self._hear, process, answered, (got,))
 
         def answered(got) -> None:
-            if not state["over"]:
-                state["over"] = True
+            nonlocal over
+            if not over:
+                over = True
                 heard(got)
 
         def gives_up() -> None:
-            if not state["over"]:
-                state["over"] = True
+            nonlocal over
+            if not over:
+                over = True
                 self.unknown += 1
                 failed()
 
@@ -315,9 +299,9 @@
         self.after(PATIENCE, self._deliver, process, gives_up, ())
 
     def division(self, name: str) -> Division:
-        return read(msgspec.json.decode(self.store.documents[name][1])["body"])
+        return divided(self.store.documents[name][1])
 
-    def written(self, name: str, data: bytes) -> None:
+    def written(self, name: str) -> None:
         """A commit was taken: are its parts within the whole, or at least not above what they were?"""
         d = self.division(name)
         total = sum(part.amount for part in d.parts.values())
@@ -431,8 +415,3 @@
         if process and process.alive:
             # One that is paused hears of it when it goes on; until then it believes it holds it.
             self._deliver(process, lambda: process.shares[name].ended(process.clock()), ())
-
-
-def document(division: Division) -> bytes:
-    """A document as an operator's command puts it."""
-    return msgspec.json.encode({"v": 1, "marks": {}, "body": division.body()})
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 
-import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,9 +9,10 @@
 
 from herongap.accord import Division, Kind, Ledger, Outcome, Part, Shares, Terms
 from herongap.accord import shares as rules
-from herongap.accord.shares import goals, read
+from herongap.accord.ledger import write
+from herongap.accord.shares import divided, goals, read
 from herongap.fleet import worlds
-from herongap.fleet.settling import Net, World, document
+from herongap.fleet.settling import Net, World
 
 HELD = Terms("held", Kind.HELD, 40, floor=1, linger=8.0)
 RATE = Terms("rate", Kind.RATE, 60, floor=1, window=5.0)
@@ -88,12 +88,12 @@
 
 
 def told(parts: dict[str, Part], whole: int = 12, open_: bool = True) -> bytes:
-    return document(Division(whole, open_, 1, parts))
+    return write(Division(whole, open_, 1, parts).body())
 
 
 def one(terms: Terms = HELD, parts=None, whole: int = 12, life: int = 5) -> Shares:
     s = Shares(terms, "1", 5.0)
-    s.claimed_at(life, 4.5)
+    s.leased(life, 4.5, True)
     s.shown(0.0, 10, 10, told({"1": Part(4, 1, life, 1)} if parts is None else parts, whole))
     return s
 
@@ -101,9 +101,9 @@
 def test_a_part_ends_by_its_holders_own_clock_and_by_another_claim_of_its_number():
     s = one()
     assert s.room(4.4) == 4 and s.room(4.5) == 0, "after a pause the lease is looked at first"
-    s.kept(9.5)
+    s.leased(s.claimed, 9.5, True)
     assert s.room(4.5) == 4
-    s.claimed_at(11, 20.0)
+    s.leased(11, 20.0, True)
     assert s.room(6.0) == 0, "the part is by an earlier claim, which another may have buried"
     s.shown(6.0, 12, 12, told({"1": Part(4, 1, 11, 1)}))
     assert s.room(6.0) == 4
@@ -114,7 +114,7 @@
     for _ in range(3):
         s.began(0.0)
     commit = s.step(3.0, {"1": 5, "2": 6})
-    there = read(msgspec.json.decode(commit.data)["body"])
+    there = divided(commit.data)
     assert there.parts["1"].amount < 10 and there.free > 0 and there.parts["2"].amount == 2
     assert s.mine(3.0) == there.parts["1"].amount, "not used from here on, whatever becomes of the write"
     s.unanswered(3.1, commit)
@@ -146,11 +146,11 @@
 
 def test_a_part_of_the_dead_is_kept_until_what_it_held_is_over():
     s = one(parts={"1": Part(2, 1, 5, 1), "2": Part(10, 8, 6, 1)})
-    s.kept(1000.0)
+    s.leased(s.claimed, 1000.0, True)
 
     def parts(now: float, live):
         commit = s.step(now, live)
-        return None if commit is None else read(msgspec.json.decode(commit.data)["body"]).parts
+        return None if commit is None else divided(commit.data).parts
 
     assert parts(1.0, {"1": 5, "2": 6}) is None
     assert parts(2.0, {"1": 5}) is None
@@ -165,7 +165,7 @@
     commit = s.step(0.0, {"1": 5})
     s.answered(0.1, commit, 11, True, 11, commit.data)
     assert s.mine(0.1) == 7 and s.room(0.1) == 0
-    s.kept(100.0)
+    s.leased(s.claimed, 100.0, True)
     assert s.room(HELD.outlasts - 0.1) == 0
     assert s.room(HELD.outlasts + 0.1) == 7, "it is over by then"
     again = one(parts={"1": Part(7, 7, 3, 1)})
@@ -179,17 +179,17 @@
     s = one()
     for _ in range(3):
         s.began(1.0)
-    s.gone()
+    s.leased(5, 4.5, False)
     assert s.room(2.0) == 0 and s.overdue(4.5 + HELD.linger - 0.1) == 0
-    s.claimed_at(20, 100.0)  # a new claim of the number does not bring the part back
+    s.leased(20, 100.0, True)  # a new claim of the number does not bring the part back
     assert s.overdue(4.5 + HELD.linger) == 3
 
 
 def test_a_budget_that_stops_gives_nothing_once_a_renewal_has_failed():
     s = one(HELD._replace(keep=False))
-    s.failing = True
+    s.leased(5, 4.5, True, failing=True)
     assert s.room(0.5) == 0
-    s.kept(9.0)
+    s.leased(s.claimed, 9.0, True)
     assert s.room(0.5) == 4
 
 
@@ -197,19 +197,19 @@
     s = one()
     s.began(0.0)
     s.set_back()
-    s.claimed_at(2, 4.5)
+    s.leased(2, 4.5, True)
     s.shown(0.1, 3, 3, told({"1": Part(9, 9, 2, 1)}))
     assert s.room(0.1) == 0
     closing = s.step(0.2, {"1": 2})
-    assert not read(msgspec.json.decode(closing.data)["body"]).open
+    assert not divided(closing.data).open
     s.answered(0.3, closing, 4, True, 4, closing.data)
     counted = s.step(0.9, {"1": 2})
-    assert read(msgspec.json.decode(counted.data)["body"]).parts["1"].amount == 1
+    assert divided(counted.data).parts["1"].amount == 1
     s.answered(1.0, counted, 5, True, 5, counted.data)
-    s.kept(100.0)
+    s.leased(s.claimed, 100.0, True)
     assert s.step(2.0, {"1": 2}) is None and s.room(2.0) == 0
     late = 2.1 + 5.0 + HELD.outlasts
-    assert read(msgspec.json.decode(s.step(late, {"1": 2}).data)["body"]).open
+    assert divided(s.step(late, {"1": 2}).data).open
 
 
 # Many processes, with all between them that can fail, from one seed.
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -14,7 +14,8 @@
 
 from herongap.accord import Division, Kind
 from herongap.accord import Terms as Whole
-from herongap.accord.shares import read as read_division
+from herongap.accord.ledger import write
+from herongap.accord.shares import divided
 from herongap.cli import main
 from herongap.daemon.etcd import Feed
 from herongap.daemon.remembered import Remembered
@@ -25,7 +26,6 @@
 from herongap.fleet.checker import check
 from herongap.fleet.day import read_day, script
 from herongap.fleet.figures import Outcome
-from herongap.fleet.settling import document
 from herongap.ini.site import Etcd as Terms
 from herongap.interface import Standing
 from herongap.standins.etcd import Etcd, History, fill, put
@@ -692,12 +692,12 @@
     whole = Whole("seats", Kind.HELD, 12, floor=1, linger=0.5)
     with cluster(2) as etcd:
         key = f"{PREFIX}budgets/seats"
-        etcd.history.put(key.encode(), document(Division(12, True, 1, {})))
+        etcd.history.put(key.encode(), write(Division(12, True, 1, {}).body()))
         all_ = [Watcher(etcd, n, (whole,)) for n in range(3)]
         shares = [w.feed.budgets.shares["seats"] for w in all_]
 
         def parts():
-            return read_division(json.loads(etcd.history.now_at[key.encode()]["value"])["body"]).parts
+            return divided(etcd.history.now_at[key.encode()]["value"]).parts
 
         until(lambda: len(parts()) == 3 and sum(p.amount for p in parts().values()) >= 10, 20.0)
         until(lambda: all(s.room(time.monotonic()) > 0 for s in shares), 20.0)
@@ -728,7 +728,7 @@
         all_[1].feed.budgets.leave()
         until(lambda: all_[1].feed.budgets.left and "1" not in parts(), 20.0)
         for _, _, value in [e for e in etcd.history.events if e[1] == key.encode()]:
-            d = read_division(json.loads(value["value"])["body"])
+            d = divided(value["value"])
             assert sum(p.amount for p in d.parts.values()) <= d.whole
         for w in all_:
             w.close()
