Shares checked over all interleavings of a small world; events and streamers in one direction

Follower (event streams) is given whom it tells, its name, time-out and clock, instead of reaching into the port.

[cold] warm_up = 0 is refused: the module divides by it.

--- a/herongap/daemon/events.py
+++ b/herongap/daemon/events.py
@@ -1,8 +1,9 @@
 """Following a streamer's event stream, and passing on what it tells."""
 
 import time
+from collections.abc import Callable
 from contextlib import suppress
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import gevent
 import h11
@@ -13,21 +14,33 @@
 from herongap.interface import Ending
 from herongap.whep import EventReader
 
-if TYPE_CHECKING:
-    from herongap.daemon.streamers import Streamers
-
+Id = int | str
 log = structlog.get_logger()
 # How a streamer says that a session ended; anything else counts as broken off.
 REASONS = {"ended": Ending.PLAYED, "viewer-gone": Ending.PLAYED}
 WANTED = b'["active","inactive","layers","viewercount","load","delivery"]'
 
 
+class Listener(Protocol):
+    """Who is told what a streamer says."""
+
+    def share_told(self, streamer: Id, share: float) -> None: ...
+
+    def load_told(self, streamer: Id, uplink: bool, ratio: float) -> None: ...
+
+    def ended_at(self, streamer: Id, resource: str, how: Ending) -> None: ...
+
+    def lost(self, streamer: Id, target: str, cause: str) -> None: ...
+
+
 class Follower:
-    """One event stream: subscribe (POST), read (GET), come back after a break."""
+    """One event stream: subscribe (POST), read (GET), come back after a break. `name` is the front's."""
 
-    def __init__(self, port: "Streamers", streamer, address: Address, target: str):
-        self.port, self.streamer, self.address, self.target = port, streamer, address, target
-        self.pulse = Pulse(port.clock())
+    def __init__(self, listener: Listener, name: str, connect: float, clock: Callable[[], float],
+                 streamer: Id, address: Address, target: str):  # fmt: skip
+        self.listener, self.name, self.connect, self.clock = listener, name, connect, clock
+        self.streamer, self.address, self.target = streamer, address, target
+        self.pulse = Pulse(clock())
         self.call: Call | None = None
         self.silent = False
         self._greenlet = gevent.spawn(self._run)
@@ -49,20 +62,19 @@
             finally:
                 if self.call:
                     self.call.close()
-            if self.pulse.broke(self.port.clock(), unknown):
+            if self.pulse.broke(self.clock(), unknown):
                 self._lost("its event stream cannot be had")
                 return
             gevent.sleep(wait)
             wait = min(0.5, 2 * wait)
 
     def _lost(self, cause: str) -> None:
-        self.port.followers.pop((self.streamer, self.target), None)
-        self.port.lost(self.streamer, cause)
+        self.listener.lost(self.streamer, self.target, cause)
 
     def _read_stream(self) -> bool:
         """Read until the stream ends; True if the streamer does not know it (any more)."""
-        self.call = Call(self.address, self.port.connect)
-        name = [("Via", f"1.1 {self.port.name}")]
+        self.call = Call(self.address, self.connect)
+        name = [("Via", f"1.1 {self.name}")]
         self.call.send("POST", self.target, [*name, ("Content-Type", "application/json")], WANTED)
         made = self.call.receive(2.0)
         if made.status in (404, 410):
@@ -87,28 +99,26 @@
                     gevent.spawn(self._lost, "silent")
                     self.stop()
                 continue
-            self.pulse.spoke(self.port.clock())
+            self.pulse.spoke(self.clock())
             for name, data in reader.feed(chunk):
                 self._tell(name, data)
 
     def _quiet(self) -> bool:
-        word = self.pulse.word(self.port.clock())
+        word = self.pulse.word(self.clock())
         if word is Word.SILENT:
-            self.port.host.share_told(self.port.clock(), self.streamer, 0.0)
+            self.listener.share_told(self.streamer, 0.0)
         return word is Word.LOST
 
     def _tell(self, name: str, data: dict) -> None:
-        host, now = self.port.host, self.port.clock()
         # A streamer's word is not to be trusted to be a number.
         with suppress(KeyError, TypeError, ValueError):
             if name == "delivery":
-                host.share_told(now, self.streamer, min(1.0, max(0.0, float(data["share"]))))
+                self.listener.share_told(self.streamer, min(1.0, max(0.0, float(data["share"]))))
             elif name == "load":
                 for key, uplink in (("link", False), ("rack", True)):
                     if data.get(key) is not None:
-                        host.load_told(
-                            now, self.streamer, uplink, None, min(100.0, max(0.0, float(data[key])))
-                        )
+                        ratio = min(100.0, max(0.0, float(data[key])))
+                        self.listener.load_told(self.streamer, uplink, ratio)
             elif name == "inactive" and "resource" in data:
                 how = REASONS.get(data.get("reason"), Ending.BROKEN)
-                self.port.ended_at(self.streamer, str(data["resource"]), how)
+                self.listener.ended_at(self.streamer, str(data["resource"]), how)
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -311,9 +311,8 @@
         """Hear what the streamer of a session says of it."""
         key = remote.streamer, remote.events
         if remote.events and key not in self.followers:
-            self.followers[key] = Follower(
-                self, remote.streamer, self.addresses[remote.streamer], remote.events
-            )
+            where = remote.streamer, self.addresses[remote.streamer], remote.events
+            self.followers[key] = Follower(self, self.name, self.connect, self.clock, *where)
 
     def _unfollow(self, remote: Remote) -> None:
         key = remote.streamer, remote.events
@@ -322,6 +321,12 @@
         ) and (follower := self.followers.pop(key, None)):
             follower.stop()
 
+    def share_told(self, streamer: Id, share: float) -> None:
+        self.host.share_told(self.clock(), streamer, share)
+
+    def load_told(self, streamer: Id, uplink: bool, ratio: float) -> None:
+        self.host.load_told(self.clock(), streamer, uplink, None, ratio)
+
     def ended_at(self, streamer: Id, resource: str, how: Ending) -> None:
         """A streamer says that one of its sessions ended."""
         for (viewing, number), remote in list(self.remotes.items()):
@@ -330,8 +335,9 @@
                 self._over((viewing, number))
                 self.host.ended(self.clock(), viewing, number, how)
 
-    def lost(self, streamer: Id, cause: str) -> None:
-        """A streamer's process is gone, and all that it played with it."""
+    def lost(self, streamer: Id, target: str, cause: str) -> None:
+        """A streamer's process is gone, and all that it played with it; `target` was its event stream."""
+        self.followers.pop((streamer, target), None)
         held = self.host.held(streamer)
         log.warning("streamer lost", streamer=streamer, viewings=len(held), cause=cause)
         for viewing, number in held:
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -117,7 +117,7 @@
 
 
 class Cold(Part):
-    warm_up: Seconds = 10.0
+    warm_up: Annotated[float, Field(gt=0, le=86400)] = 10.0
     start: Annotated[float, Field(gt=0, le=1)] = 0.4
     fall_multiple: Annotated[float, Field(gt=0)] = 2.5
 
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -13,6 +13,7 @@
 from herongap.accord.shares import divided, goals, read
 from herongap.fleet import worlds
 from herongap.fleet.settling import Net, World
+from herongap.fleet.sharing import sharing
 
 HELD = Terms("held", Kind.HELD, 40, floor=1, linger=8.0)
 RATE = Terms("rate", Kind.RATE, 60, floor=1, window=5.0)
@@ -376,6 +377,28 @@
     assert not any(Story(seed, Shares, *story).play(100).broken for seed in seeds)
 
 
+def test_all_interleavings_of_a_small_world_keep_the_whole():
+    found = check_safety(sharing(5, 1, 0))
+    assert found["exhaustive"] and found["reachable_states"] > 10000
+    assert all(p["holds"] is True for p in found["properties"].values()), found
+
+
+@pytest.mark.parametrize(
+    ("mistake", "world", "most"),
+    [
+        (HandsOn, (6, 2, 1), 60000),
+        (ActsFirst, (5, 2, 0), 30000),
+        (TakesLostForFailed, (5, 2, 0), 30000),
+        (RoundsUp, (4, 1, 0), 4000),
+        (FloorFromNobody, (4, 1, 0), 4000),
+    ],
+)
+def test_a_planted_mistake_is_found_by_a_short_way(mistake, world, most):
+    found = check_safety(sharing(*world, make=mistake), max_states=most)
+    above = found["properties"]["no more plays than the whole"]
+    assert above["holds"] is False and len(above["counterexample"]) <= 12
+
+
 @pytest.mark.parametrize(("make", "kept"), [(Shares, True), (TakesLostForFailed, False)])
 def test_who_hears_nothing_of_what_it_gave_back_does_not_use_it(make, kept):
     w = World(1, 3, (HELD,), demand=2.0, lasts=4.0, make=make)
