A lowered whole gives nothing new; what was decided before a pause is paced when it leaves

Seen: the test of a lowered whole itself showed it: with the parts still above the new whole, a place that came free was begun again before the write that gave it back. Now nobody uses more than its goal while the parts are above the whole (shares.py, `ceiling`; goals sum to the whole, so this holds among all that have heard).

A tune-in to a cold streamer that was decided before a pause, or by a rank whose lease is over, does not leave (`may_leave`, asked by `sendable`): it would fall into other controllers' turns. What is held back at the last moment is no longer held against its streamer in the daemon either (it was UNREACHED there, and set it aside).

Rehearsals: an operator lowers and raises wholes, or deletes documents; the checker binds a lowered whole when the last that had not heard has no lease.

--- a/herongap/accord/shares.py
+++ b/herongap/accord/shares.py
@@ -155,6 +155,7 @@
         self.division: Division | None = None
         self._read, self._unfit = None, ""  # the body that the division was read from; what was wrong with it
         self.promised: int | None = None  # what our commit that is out would leave us
+        self.ceiling: int | None = None  # our goal, where the whole was lowered under its parts
         self.due, self.calm, self.lost, self.draws = 0.0, 0.0, 0, 0
         self.absent: dict[tuple[str, int], float] = {}
         self.closed_since: tuple[float, object] | None = None
@@ -193,7 +194,8 @@
             return 0
         if self.failing and not self.terms.keep:
             return 0
-        return part.amount if self.promised is None else min(part.amount, self.promised)
+        amount = part.amount if self.promised is None else min(part.amount, self.promised)
+        return amount if self.ceiling is None else min(amount, self.ceiling)
 
     def use(self, now: float) -> int:
         """What is in use, or (rate) was begun within the window, by a clock that may run fast, and what is
@@ -278,7 +280,7 @@
         """The store is another one, or an older copy: uses are counted anew before anybody gets more."""
         self.claimed = -1
         self.ledger.forget()
-        self.division, self.promised, self.recount = None, None, True
+        self.division, self.promised, self.ceiling, self.recount = None, None, None, True
         self.absent.clear()
 
     def step(self, now: float, live: Mapping[str, int] | None) -> Commit | None:
@@ -327,6 +329,10 @@
                     self.division = read(self._read)
                 except ValueError as fault:
                     self._unfit = str(fault)
+            # Until the parts have fallen, what ends here must not be begun again above the lowered whole.
+            d, self.ceiling = self.division, None
+            if d and d.free < 0 and self.me in d.parts:
+                self.ceiling = goals(d.whole, {m: p.want for m, p in d.parts.items()})[self.me]
         if self._entered():
             self.right = max(self.right, self.until)
         if outcome is None:
--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -334,6 +334,10 @@
         found = self.follower.items.items()
         return {key.removeprefix(start): item.create for key, item in found if key.startswith(start)}
 
+    def ranked(self) -> bool:
+        """Whether the place that was told last still holds: one that was stopped asks before it acts."""
+        return self.place is None or self.place.rank is None or self.membership.holds(self.clock())
+
     def _reckon(self) -> None:
         if self.budgets:
             held = self.membership.holds(self.clock())
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -62,7 +62,7 @@
             budgets = tuple(terms(name, whole) for name, whole in site.wholes.items())
             told = self._fed, self._counted, budgets, self._given
             self.feed = Feed(site.etcd, f.number, f.controllers, f.seed, self.name, clock, *told)
-            self.port.budgets = self.feed.budgets or None
+            self.port.budgets, self.port.ranked = self.feed.budgets or None, self.feed.ranked
         self.titles = Watched(site.catalogue.file, self._catalogued, 1.0)
         self.door: Door | None = None
         self.front: Front | None = None
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -3,6 +3,7 @@
 """
 
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from urllib.parse import quote
 
@@ -44,6 +45,7 @@
         self.on_over = lambda session, answer: None
         self.journal: Journal | None = None
         self.budgets: Budgets | None = None
+        self.ranked: Callable[[], bool] = lambda: True  # whether our place among the controllers still holds
         self.alarm = Alarm(clock)
 
     # The port.
@@ -167,14 +169,9 @@
             # A connection of its own: on a kept one, a reset could not be told from one that came before the
             # request was read, and whether it ran is what the package's terms go by.
             call = Call(self.addresses[streamer], min(self.connect, 0.9 * time_out))
-            if not self.host.sendable(viewing, number):
+            if not self._leaves(viewing, number):
                 call.close()
-                return
-            if self.budgets and not self.budgets.leaves(key):
-                # Much may have passed since it was decided, as where the process was stopped: the streamer
-                # is sound, and it never left.
-                call.close()
-                how, load = Ending.FULL, Load()
+                how, load = Ending.FULL, Load()  # it never left, and its streamer is sound
                 return
             self.calls[key] = call
             target = self.targets[session.protocol].format(title=quote(str(ask.title), safe=""), rung=rung)
@@ -214,6 +211,12 @@
                 self._over(key, sure)
                 self.host.ended(self.clock(), viewing, number, how, load)
 
+    def _leaves(self, viewing: Id, number: int) -> bool:
+        """Whether a tune-in may leave now: much may have passed since it was decided."""
+        if not self.host.sendable(viewing, number, self.clock(), self.ranked()):
+            return False
+        return self.budgets is None or self.budgets.leaves((viewing, number))
+
     def _over(self, thing: tuple[Id, int], sure: bool = True) -> None:
         if self.budgets:
             self.budgets.over(thing, sure)
--- a/herongap/fleet/day.py
+++ b/herongap/fleet/day.py
@@ -20,6 +20,7 @@
     "watch_cut", "etcd_down",
     "pause", "kill", "leave", "join", "clock_step", "clock_fast",
     "store_cut", "store_oneway", "store_slow", "store_reset", "member_down", "leader_change", "minority",
+    "whole", "forgotten",
 )  # fmt: skip
 
 
@@ -338,6 +339,13 @@
                 Order(t.at, "members", {"do": "begin", **what}),
                 Order(end, "members", {"do": "end", **what}),
             ]
+        case "whole" | "forgotten":
+            # An operator sets each whole to `size` times what it was, and back; or deletes the documents.
+            names = list(day.wholes)
+            named = [names[i % len(names)] for i in t.on or range(len(names))]
+            do = {"do": t.kind, "names": named}
+            back = [Order(end, "etcd", do | {"times": 1.0})] if t.kind == "whole" else []
+            return [Order(t.at, "etcd", do | {"times": t.size}), *back]
         case "leader_change":
             return [Order(t.at, "members", {"do": "elect", "by": t.lasts})]
         case "die":
--- a/herongap/fleet/model.py
+++ b/herongap/fleet/model.py
@@ -108,7 +108,7 @@
         if not self.up or out is None:
             return
         machine = self.model.machines[out.streamer]
-        if not machine.running or not self.host.sendable(viewing, number):
+        if not machine.running or not self.host.sendable(viewing, number, self.clock.now):
             self.ended(viewing, number, Ending.UNREACHED)
             return
         machine.post(self, out)
--- a/herongap/fleet/wholes.py
+++ b/herongap/fleet/wholes.py
@@ -18,7 +18,7 @@
     """All breaks of the rule on divided wholes."""
     for name, whole in run.day.wholes.items():
         counted = [(i, out) for i, outs in run.outs.items() for out in _counted(run, whole, i, outs)]
-        yield from (_held if whole.kind == "held" else _begun)(run, name, whole, counted)
+        yield from (_held if whole.kind == "held" else _begun)(run, name, whole, counted, _bounds(run, name))
         yield from _ended(run, name, counted)
         yield from _parts(run, name)
 
@@ -46,7 +46,21 @@
             yield out
 
 
-def _held(run: Run, name: str, whole: WholeTerms, counted) -> Iterator[Break]:
+def _bounds(run: Run, name: str) -> list[tuple[float, int]]:
+    """The whole from each time on, as the store had it."""
+    told = [(at, divided(value.encode()).whole) for at, n, value in run.budgets if n == name and value]
+    return [told[i] for i in range(len(told)) if i == 0 or told[i][1] != told[i - 1][1]]
+
+
+def _bound(run: Run, whole: WholeTerms, bounds: list[tuple[float, int]], at: float) -> int:
+    # A lowered one binds when the last that had not heard of it has no lease any more.
+    since = at - run.day.size.ttl - whole.window - SLACK
+    ends = [*(at for at, _ in bounds[1:]), float("inf")]
+    found = [w for (a, w), end in zip(bounds, ends, strict=False) if a <= at + SLACK and end > since]
+    return max(found, default=whole.whole)
+
+
+def _held(run: Run, name: str, whole: WholeTerms, counted, bounds) -> Iterator[Break]:
     steps = []
     for identity, out in counted:
         held = next((s for s in run.sessions[identity] if s.out is out), None)
@@ -56,18 +70,18 @@
     now = 0
     for at, change, identity in sorted(steps):
         now += change
-        if change > 0 and now > whole.whole:
-            yield run.broken(7, at, f"{name}: {now} held of {whole.whole}", identity)
+        if change > 0 and now > (most := _bound(run, whole, bounds, at)):
+            yield run.broken(7, at, f"{name}: {now} held of {most}", identity)
 
 
-def _begun(run: Run, name: str, whole: WholeTerms, counted) -> Iterator[Break]:
+def _begun(run: Run, name: str, whole: WholeTerms, counted, bounds) -> Iterator[Break]:
     begins = sorted((out.begin, identity) for identity, out in counted)
     first = 0
     for i, (at, identity) in enumerate(begins):
         while begins[first][0] <= at - whole.window + SLACK:
             first += 1
-        if i - first + 1 > whole.whole:
-            what = f"{name}: {i - first + 1} in {whole.window:g} s, of {whole.whole}"
+        if i - first + 1 > (most := _bound(run, whole, bounds, at)):
+            what = f"{name}: {i - first + 1} in {whole.window:g} s, of {most}"
             yield run.broken(7, at, what, identity)
 
 
--- a/herongap/host/host.py
+++ b/herongap/host/host.py
@@ -195,14 +195,16 @@
 
     # Questions: they change nothing and are in no record.
 
-    def sendable(self, viewing: Id, number: int) -> bool:
+    def sendable(self, viewing: Id, number: int, now: float, ranked: bool = True) -> bool:
         """Whether a tune-in may still leave, asked just before it does.
 
         Between the decision and the moment its connection stands, its streamer's drain may have been heard,
-        its viewer may have left, or its time may be up.
+        its viewer may have left, or its time may be up. The process may have been stopped: `ranked` says
+        whether what `counted` told last still holds.
         """
         life = self._current(viewing, number, State.OUT)
-        return life is not None and self.standing.get(life.streamer) is Standing.ACTIVE
+        sound = life is not None and self.standing.get(life.streamer) is Standing.ACTIVE
+        return sound and self.module.may_leave(now, viewing, ranked)
 
     def held(self, streamer: Id) -> list[tuple[Id, int]]:
         """The viewings playing at a streamer, with the numbers of their tune-ins."""
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -191,7 +191,7 @@
             return
         if self.outs.get(key) is not out:
             return
-        if not self.host.sendable(out.ask.viewing, out.number):
+        if not self.host.sendable(out.ask.viewing, out.number, self.clock()):
             # Its drain was heard while the connection came up: it never left, and the streamer is sound.
             del self.outs[key]
             self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.FULL, Load())
--- a/herongap/rehearsal/stage.py
+++ b/herongap/rehearsal/stage.py
@@ -18,7 +18,7 @@
 from gevent import subprocess as green
 
 from herongap.accord import Division
-from herongap.accord.ledger import write
+from herongap.accord.ledger import Document, write
 from herongap.daemon.wire import Address
 from herongap.fleet.day import (
     MEMBERS,
@@ -298,6 +298,18 @@
             case "start":
                 for member in self.etcd.members:
                     member.start()
+            case "whole":
+                for name in what["names"]:
+                    self._set_whole(name, round(what["times"] * self.day.wholes[name].whole))
+            case "forgotten":
+                self.etcd.history.delete(*(f"{PREFIX}budgets/{name}".encode() for name in what["names"]))
+
+    def _set_whole(self, name: str, whole: int) -> None:
+        key = f"{PREFIX}budgets/{name}".encode()
+        there = self.etcd.history.now_at.get(key)
+        if there:
+            document = Document.read(there["value"])
+            self.etcd.history.put(key, write(document.body | {"whole": whole}, document.marks))
 
     def _log_list(self) -> None:
         self.log("stage", "listed", gone=self.listing.gone(), by=self.day.size.list_by)
--- a/herongap/rules.py
+++ b/herongap/rules.py
@@ -482,6 +482,14 @@
             return now - st.since >= self.warm_up or slot != st.slot
         return self.me is not None and slot != st.slot and slot == self.next_turn(now, st)
 
+    def may_leave(self, now: float, viewing: int, ranked: bool) -> bool:
+        """Whether a tune-in may still leave, by the pace; `ranked`: our place among others still holds."""
+        vw = self.viewings.get(viewing)
+        if vw is None or vw.streamer is None or now - vw.streamer.started >= self.warm_up:
+            return True
+        # What a process that was stopped has left over must not fall into its next turn, nor into others'.
+        return ranked and now - vw.sent < self.slot * self.controllers
+
     def next_turn(self, now: float, st: Streamer) -> int:
         """The slot in which this controller may next send something to a cold streamer: now, or later."""
         # No more share a slot than viewings share a streamer: among hundreds, each would wait for minutes.
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -368,6 +368,15 @@
     assert sevenths(tmp_path, *kept, claim=(1.5, 1e9))[0].startswith("held: herongap-0-1 sent")
 
 
+def test_a_lowered_whole_binds_when_nobody_can_have_missed_it(tmp_path):
+    def day(at):
+        documents = [(0.0, Division(2, True, 1, {})), (1.0, Division(1, True, 1, {}))]
+        return sevenths(tmp_path, (at, at + 1), (at + 0.5, at + 0.9), documents=documents)
+
+    assert day(6.0) == []  # the lease of who is cut off lasts 6 s
+    assert day(8.0) == ["held: 2 held of 1"]
+
+
 def test_the_checker_reads_the_parts_of_every_revision(tmp_path):
     def parts(*amounts, whole=2, open_=True):
         return Division(whole, open_, 1, {str(i): Part(a, a, 1, 1) for i, a in enumerate(amounts)})
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -53,6 +53,11 @@
 at = 2
 lasts = 3.5
 on = 1
+[trouble lowered, and raised again]
+kind = whole
+at = 7
+lasts = 3.5
+size = 0.4
 [trouble killed]
 kind = kill
 at = 5
