--- a/herongap/fleet/day.py
+++ b/herongap/fleet/day.py
@@ -217,6 +217,11 @@
             named[kind][name] = part
     if not named["package"] and not faults:
         faults.append(f"{path}: [package NAME]: at least one package is needed")
+    for name, whole in named["budget"].items():
+        if whole.member:
+            faults.append(f"{path}: [budget {name}] member = {whole.member}: viewers of a day have none")
+        if found.get("day", Size()).list_by != "etcd":
+            faults.append(f"{path}: [budget {name}]: needs [day] list_by = etcd")
     if faults:
         raise Faults("\n".join(faults))
     return Day(
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -379,6 +379,20 @@
     assert day(8.0) == ["held: 2 held of 1"]
 
 
+@pytest.mark.parametrize(
+    "change, says",
+    [
+        (("list_by = etcd", "list_by = file"), r"\[budget held\]: needs \[day\] list_by = etcd"),
+        (("linger = 1", "linger = 1\nmember = m"), r"\[budget held\] member = m: viewers of a day have none"),
+    ],
+)
+def test_a_day_whose_wholes_could_not_be_judged_is_refused(tmp_path, change, says):
+    assert change[0] in DAY
+    (tmp_path / "day.ini").write_text(DAY.replace(*change))
+    with pytest.raises(Faults, match=says):
+        read_day(tmp_path / "day.ini")
+
+
 def test_the_checker_reads_the_parts_of_every_revision(tmp_path):
     def parts(*amounts, whole=2, open_=True):
         return Division(whole, open_, 1, {str(i): Part(a, a, 1, 1) for i, a in enumerate(amounts)})
