The module is a package of six files, split by what each decides

herongap/rules/: known (streamers, pipes, viewings, what is to be said), limits (repeats, budget, wholes, floods), turns (cold pace), playing (cuts and raises), placing (the paper's table, where a waiting viewing goes), controller (hears and is pulled). By composition, imports one way, relative so that an experiment loads another version beside it.

--- a/herongap/cli/experiment.py
+++ b/herongap/cli/experiment.py
@@ -108,7 +108,7 @@
     from herongap.fleet import pages
     from herongap.fleet.arms import PACKAGE, Arm, Experiment, Plan, job
 
-    arms = tuple(Arm(day.name, policy, str(PACKAGE / "rules.py"), (), str(day.resolve()), 0) for day in days)
+    arms = tuple(Arm(day.name, policy, str(PACKAGE / "rules"), (), str(day.resolve()), 0) for day in days)
     plan = Plan(day=str(days[0]), least=max(2, pairs), most=max(2, pairs))
     try:
         results = {arm.name: [job(arm, seed) for seed in range(1, plan.most + 1)] for arm in arms}
@@ -141,7 +141,7 @@
 
     if policy not in POLICIES:
         raise click.UsageError(f"--policy is one of {', '.join(POLICIES)}")
-    arm = Arm(day.name, policy, str(PACKAGE / "rules.py"), (), str(day.resolve()), 0)
+    arm = Arm(day.name, policy, str(PACKAGE / "rules"), (), str(day.resolve()), 0)
     try:
         for seed in map(int, seeds.split(",")):
             results = play_all(arm, seed, plays, workers)
--- a/herongap/fleet/arms.py
+++ b/herongap/fleet/arms.py
@@ -7,6 +7,7 @@
 import hashlib
 import importlib.util
 import json
+import sys
 from pathlib import Path
 from typing import Annotated, NamedTuple
 
@@ -48,7 +49,8 @@
 class Arm(NamedTuple):
     """One arm: a policy, on a version of the module with some values changed, on a day.
 
-    `module` is the path of a rules.py; `luck` gives its controllers other chance on the same days.
+    `module` is the folder of a version of the module; `luck` gives its controllers other chance on the same
+    days.
     """
 
     name: str
@@ -63,7 +65,7 @@
         itself.
         """
         hashed = hashlib.sha256(json.dumps([self.policy, self.values, self.luck]).encode())
-        for path in (Path(self.day), Path(self.module), *_sources()):
+        for path in (Path(self.day), *sorted(Path(self.module).glob("*.py")), *_sources()):
             hashed.update(path.read_bytes())
         return hashed.hexdigest()[:24]
 
@@ -123,10 +125,10 @@
 def _arm(name: str, part: ArmPart, plan: Plan, near: Path) -> Arm:
     if part.policy not in baselines.POLICIES:
         raise ValueError(f"policy = {part.policy}: allowed are {', '.join(baselines.POLICIES)}")
-    module = near / part.module if part.module else PACKAGE / "rules.py"
-    if module.is_dir():
+    module = near / part.module if part.module else PACKAGE / "rules"
+    if (module / "herongap").is_dir():
         # An installed or unpacked version of the package.
-        module = module / "herongap" / "rules.py"
+        module = module / "herongap" / "rules"
     values = []
     for pair in filter(None, map(str.strip, part.set.split(","))):
         key, _, value = pair.partition("=")
@@ -139,15 +141,26 @@
 
 def _deciding(arm: Arm) -> type:
     """The arm's deciding class, from a copy of its module that nothing else uses."""
-    spec = importlib.util.spec_from_file_location(f"herongap_arm_{arm.digest()}", arm.module)
-    if spec is None or spec.loader is None:
-        raise ValueError(f"module = {arm.module}: not a Python file")
+    name, folder = f"herongap_arm_{arm.digest()}", Path(arm.module)
+    if not (folder / "__init__.py").is_file():
+        raise ValueError(f"module = {arm.module}: not a folder of a module")
+    spec = importlib.util.spec_from_file_location(
+        name, folder / "__init__.py", submodule_search_locations=[arm.module]
+    )
     module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
+    try:
+        # Under its name while it loads, so that its files find each other; then dropped: each has its own.
+        sys.modules[name] = module
+        spec.loader.exec_module(module)
+    finally:
+        parts = [sys.modules.pop(key) for key in list(sys.modules) if key.partition(".")[0] == name]
     for key, value in arm.values:
-        if not isinstance(getattr(module, key, None), int | float):
+        # A value may be named in more than the file that it stands in.
+        having = [part for part in parts if isinstance(getattr(part, key, None), int | float)]
+        if not having:
             raise ValueError(f"set {key}: the module has no such value")
-        setattr(module, key, type(getattr(module, key))(value))
+        for part in having:
+            setattr(part, key, type(getattr(part, key))(value))
     return baselines.deciding(arm.policy, module.Controller)
 
 
--- a/herongap/fleet/baselines.py
+++ b/herongap/fleet/baselines.py
@@ -3,7 +3,7 @@
 `random`, `round-robin`, `least-used` and `two-choices` differ from the design in one point: which of the
 holders with room is taken. Rungs, cuts, raises and blocking stay. `blind` leaves out loads as well: any
 ready holder by chance, always on the highest rung that the viewer can use, never cut; what a front without
-estimates would do.
+estimates would do. Each is a class or two to be put before the module's part of that name.
 """
 
 from herongap.rules import Controller
@@ -13,7 +13,7 @@
     """Any holder with room, by chance."""
 
     def pick(self, now, vw, room):
-        return room[int(self.chance() * len(room))]
+        return room[int(self.known.chance() * len(room))]
 
 
 class RoundRobin:
@@ -31,23 +31,27 @@
     """The holder with room that has the fewest of this controller's own viewings."""
 
     def pick(self, now, vw, room):
-        return min(room, key=lambda st: (len(st.held), self.chance()))
+        return min(room, key=lambda st: (len(st.held), self.known.chance()))
 
 
 class TwoChoices:
     """Of two holders with room, drawn by chance, the one with fewer own viewings (Mitzenmacher, 2001)."""
 
     def pick(self, now, vw, room):
-        drawn = [room[int(self.chance() * len(room))] for _ in range(2)]
+        drawn = [room[int(self.known.chance() * len(room))] for _ in range(2)]
         return min(drawn, key=lambda st: len(st.held))
 
 
-class Blind(RandomHolder):
+class Blind:
     """Sees every ready holder as empty."""
 
     def use(self, now, st, more=0.0):
         return 0.0
 
+
+class Unmoved:
+    """Leaves what plays at its rung."""
+
     def cut(self, now, st):
         return None
 
@@ -56,17 +60,23 @@
 
 
 BASELINES = {
-    "random": RandomHolder,
-    "round-robin": RoundRobin,
-    "least-used": LeastUsed,
-    "two-choices": TwoChoices,
-    "blind": Blind,
+    "random": {"Table": RandomHolder},
+    "round-robin": {"Table": RoundRobin},
+    "least-used": {"Table": LeastUsed},
+    "two-choices": {"Table": TwoChoices},
+    "blind": {"Table": RandomHolder, "Known": Blind, "Playing": Unmoved},
 }
 
 
+def with_parts(base: type, **parts: type) -> type:
+    """The deciding class `base` with classes of ours put before its parts of those names."""
+    put = {name: type(part.__name__, (part, getattr(base, name)), {}) for name, part in parts.items()}
+    return type(base.__name__, (base,), put)
+
+
 def deciding(policy: str, base: type = Controller) -> type:
     """The deciding class of a policy on a version of the module; "herongap" is the version itself."""
-    return base if policy == "herongap" else type(BASELINES[policy].__name__, (BASELINES[policy], base), {})
+    return base if policy == "herongap" else with_parts(base, **BASELINES[policy])
 
 
 POLICIES = {name: deciding(name) for name in ("herongap", *BASELINES)}
--- a/herongap/host/replay.py
+++ b/herongap/host/replay.py
@@ -108,19 +108,19 @@
 
 def _holders(now: float, host: Host, ask, chosen: Id) -> Iterator[str]:
     """Each holder as the module saw it, the chosen one marked; figures are those just after the choice."""
-    module = host.module
-    for st in sorted(module.streamers.values(), key=lambda st: str(st.line.streamer)):
+    known, ranks = host.module.known, host.module.table.ranks
+    for st in sorted(known.streamers.values(), key=lambda st: str(st.line.streamer)):
         line = st.line
         if line.shelf not in ask.holders:
             continue
-        score = module.ranks.get((ask.package, line.streamer))
+        score = ranks.get((ask.package, line.streamer))
         yield (
             f"        {'*' if line.streamer == chosen else ' '} {line.streamer} {line.standing.name.lower()}"
-            f" zone {line.zone} link {st.link.use(now, module.usual):.2f}"
-            f" uplink {st.rack.use(now, module.usual):.2f} holds {len(st.held)}"
+            f" zone {line.zone} link {st.link.use(now, known.usual):.2f}"
+            f" uplink {st.rack.use(now, known.usual):.2f} holds {len(st.held)}"
             f" score {'thin' if score is None else format(score, '.1f')}"
             + (f" set aside for {st.back - now:.1f} s" if st.back > now else "")
-            + (" cold" if now - st.started < module.warm_up else "")
+            + (" cold" if now - st.started < known.warm_up else "")
         )
 
 
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -96,12 +96,12 @@
 
     def beliefs(self) -> dict[str, tuple]:
         """Of each streamer: viewings held, what is asked of its link and uplink over what these give."""
-        now, module = self.clock(), self.host.module
+        now, known = self.clock(), self.host.module.known
 
         def use(pipe) -> float:
-            return round(pipe.use(now, module.usual), 3)
+            return round(pipe.use(now, known.usual), 3)
 
-        return {name: (len(st.held), use(st.link), use(st.rack)) for name, st in module.streamers.items()}
+        return {name: (len(st.held), use(st.link), use(st.rack)) for name, st in known.streamers.items()}
 
     def _told(self, roster: Roster) -> None:
         before = self.host.standing
--- /dev/null
+++ b/herongap/rules/known.py
@@ -0,0 +1,192 @@
+"""What one controller knows, shared by all its parts: streamers, pipes, viewings, what it is yet to say."""
+from collections import Counter, defaultdict, deque
+from statistics import median
+from zlib import crc32
+
+from herongap.interface import Asked, Charter, Listed, Load, Package, Standing
+
+SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
+AWAY = 4.0              # how long a failing streamer is set aside, and half as much more by chance
+FADE = 16.0             # seconds in which word of others' use fades
+FORGET = 120.0          # a streamer that left is forgotten
+
+
+class Pipe:
+    """A link or a rack's uplink: what this controller asks of it and what it heard of the rest."""
+
+    def __init__(self, size: float):
+        self.size, self.own, self.rest, self.heard, self.eased = size, 0.0, 0.0, -1e9, -1e9
+        self.filled = 1.0
+        self.past: deque[tuple[float, float]] = deque()
+
+    def add(self, now: float, kb: float) -> None:
+        self.past.append((now, self.own))
+        self.own += kb
+        while self.past[0][0] < now - 10:
+            self.past.popleft()
+
+    def told(self, now: float, ratio: float, late: float) -> None:
+        # The word is about a moment ago: what was sent or ended here since then must not count twice.
+        then = next((own for at, own in self.past if at > now - late), self.own)
+        self.rest, self.heard = ratio * self.size - then, now
+
+    def use(self, now: float, usual: float, more: float = 0.0) -> float:
+        fresh = max(0.0, 1 - (now - self.heard) / FADE)
+        usual *= self.filled
+        return max(0.0, self.own + more + fresh * self.rest + (1 - fresh) * usual * self.size) / self.size
+
+
+class Streamer:
+    """What is known of one streamer."""
+
+    def __init__(self, line: Listed, link: Pipe, rack: Pipe):
+        self.line, self.link, self.rack = line, link, rack
+        self.share, self.back, self.started, self.since = 1.0, -1e9, -1e9, 1e18
+        self.slot, self.turn, self.phase = -1, -1, crc32(str(line.streamer).encode())
+        self.came, self.held, self.shown = -1e9, {}, Counter()
+
+
+class Terms:
+    """The derived figures of one package."""
+
+    def __init__(self, p: Package, ladder: tuple[float, ...], worths: tuple[float, ...], join_adds: float):
+        self.name, self.join, self.floor, self.top = p.name, p.join_target, p.floor, p.top
+        self.seats, self.repeat, self.group, self.window = p.seats, p.repeat, p.group, p.repeat_window
+        self.rates = [kb * p.scale for kb in ladder]
+        self.adds = join_adds if p.live else 1.0
+        # Value for each kB a second that the step up to a rung brings: cheapest steps are cut first.
+        self.gain = [max(p.value * (w - v), 1e-9) / max(kb - k, 1e-9) for w, v, kb, k in
+                     zip(worths, (0.0, *worths), self.rates, (0.0, *self.rates), strict=False)]
+
+
+class Viewing:
+    """A viewing this controller answers for or holds."""
+
+    def __init__(self, ask: Asked, package: Terms, now: float):
+        self.id, self.ask, self.package, self.streamer, self.waits = ask.viewing, ask, package, None, None
+        self.until, self.aim = now + ask.left, now + min(package.join, ask.left)
+        self.top, self.rung, self.tries = min(ask.top, package.top), package.floor, 0
+        self.sent = self.stepped = self.hold = self.turn = now
+        self.playing = self.done = self.flood = False
+        self.tried, self.ran, self.charged, self.short = set(), [], (), set()
+
+
+class Known:
+    def __init__(self, seed: int, charter: Charter):
+        c = charter
+        self.seed, self.draws, self.me, self.controllers = seed, 0, c.me, c.controllers
+        self.packages = {p.name: Terms(p, c.ladder, c.worths, c.join_adds) for p in c.packages}
+        self.zone, self.per_weight, self.places = c.zone, c.link_per_weight, c.places
+        self.racks = defaultdict(lambda: Pipe(c.rack_link))
+        self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
+        self.warm_up, self.cold_start = c.warm_up, c.cold_start
+        self.streamers, self.viewings, self.waiting, self.seated = {}, {}, {}, Counter()
+        self.usual, self.over, self.look, self.answers = 0.0, set(), False, deque()
+
+    def listed(self, now: float, kind: str, lines: tuple[Listed, ...]) -> None:
+        for line in lines:
+            if line.streamer not in self.streamers and line.standing is not Standing.LEFT:
+                link = Pipe(self.per_weight * line.weight)
+                self.streamers[line.streamer] = Streamer(line, link, self.racks[line.rack])
+            if st := self.streamers.get(line.streamer):
+                if line.started is not None and line.started > st.started:
+                    st.started, st.share = line.started, 1.0
+                st.came, st.line = now, line
+        named = self.streamers.keys() if kind == "changes" else {line.streamer for line in lines}
+        for sid in self.streamers.keys() - named:
+            self.streamers[sid].line = self.streamers[sid].line._replace(standing=Standing.LEFT)
+        # Words on a streamer can trail its last viewing, but not by this long.
+        for sid, st in list(self.streamers.items()):
+            gone = st.line.standing is Standing.LEFT and not st.held
+            if gone and now - max(st.link.heard, st.came) > FORGET:
+                del self.streamers[sid]
+        self.look = True
+
+    def share_told(self, now: float, streamer: int, share: float) -> None:
+        st = self.streamers[streamer]
+        st.share = min(1.0, share)
+        if share < SILENT:
+            # No shortage but a streamer gone silent or cut off: taken as load, it made every link look full.
+            return self.set_aside(now, st, True)
+        # Either the link or the rack's uplink is short: the fuller by estimate.
+        fuller = max(st.link, st.rack, key=lambda pipe: pipe.use(now, self.usual))
+        fuller.told(now, 1 / max(share, 0.1), self.late)
+        self.over.add(streamer)
+
+    def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
+        load = load or Load()
+        if (ratio := load.link) is None and load.link_capped is not None:
+            # A capped figure hides how much more is asked; the share that is delivered shows it.
+            ratio = load.link_capped if load.link_capped < 0.99 else 1 / max(st.share, 0.1)
+        if ratio is not None:
+            st.link.told(now, ratio, 0.3)
+        if load.rack is not None:
+            st.rack.told(now, load.rack, 0.3)
+        self.over.add(st.line.streamer)
+
+    def set_aside(self, now: float, st: Streamer, lost: bool) -> None:
+        # One failure is enough: sound streamers hardly ever fail, and those that do seldom stop at one.
+        if now >= st.back:
+            st.back = now + AWAY * (1 + self.chance() / 2)
+            if lost:
+                # It may come back cold before the list says so.
+                st.started = max(st.started, st.back)
+
+    def tick(self, now: float) -> None:
+        """How large and full links are where nothing is heard, and what others usually ask of one."""
+        racks = defaultdict(list)
+        for st in self.streamers.values():
+            # One that has just started has nothing, and others fill it as it warms. Taken for as full as all
+            # others, it would stay empty when it is needed most: a zone that returns, a release.
+            age = now - (st.line.started or -1e9)
+            st.link.filled = min(1.0, max(0.0, age / self.warm_up))
+            racks[st.line.rack].append(st.link.filled)
+            warmth = self.cold_start + (1 - self.cold_start) * max(0.0, now - st.started) / self.warm_up
+            st.link.size = self.per_weight * st.line.weight * min(1.0, warmth)
+        for rack, filled in racks.items():
+            self.racks[rack].filled = sum(filled) / len(filled)
+        live = [st for st in self.streamers.values() if st.line.standing is Standing.ACTIVE]
+        fresh = [st.link.rest / st.link.size for st in live if now - st.link.heard < FADE]
+        own = sum(st.link.own for st in live) / (sum(st.link.size for st in live) or 1.0)
+        for st in live:
+            st.since = min(st.since, now) if now - st.link.heard < FADE else 1e18
+        # The median: one failing streamer's word must not make every other link look full.
+        self.usual = max(0.0, median(fresh) if fresh else own * (self.controllers - 1))
+
+    # Bookkeeping of what plays where.
+
+    def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
+        self.ask(now, vw, -1)
+        vw.rung = rung
+        self.ask(now, vw, 1)
+
+    def put(self, now: float, vw: Viewing, st: Streamer) -> None:
+        vw.streamer = st
+        st.held[vw.id] = vw
+        self.seated[vw.package.name, vw.ask.title] += 1
+        self.ask(now, vw, 1)
+
+    def drop(self, now: float, vw: Viewing) -> None:
+        self.ask(now, vw, -1)
+        del vw.streamer.held[vw.id]
+        self.seated[seat := (vw.package.name, vw.ask.title)] -= 1
+        if not self.seated[seat]:
+            del self.seated[seat]
+        vw.streamer = None
+
+    def ask(self, now: float, vw: Viewing, sign: int) -> None:
+        # Viewers of one live title at one rung share a stream: each further one adds only a part.
+        st, key = vw.streamer, (vw.ask.title, vw.package.name, vw.rung)
+        st.shown[key] += sign
+        kb = sign * vw.package.rates[vw.rung] * (vw.package.adds if st.shown[key] + (sign < 0) > 1 else 1.0)
+        if not st.shown[key]:
+            del st.shown[key]
+        for pipe in (st.link, st.rack):
+            pipe.add(now, kb)
+
+    def use(self, now: float, st: Streamer, more: float = 0.0) -> float:
+        return max(st.link.use(now, self.usual, more), st.rack.use(now, self.usual, more))
+
+    def chance(self) -> float:
+        self.draws += 1
+        return crc32(b"%d:%d" % (self.seed, self.draws)) / 2**32
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -21,7 +21,7 @@
 def test_the_best_cell_wins_once_cells_are_thick():
     c = controller()
     for st in (10, 11, 12):
-        c.table["news", st][:] = [9.0, 9.0, 9.0 * (200 if st == 11 else 100)]
+        c.table.cells["news", st][:] = [9.0, 9.0, 9.0 * (200 if st == 11 else 100)]
     c.asked(0.0, ask(1))
     sent = [d for d in pull(c, 0.0) if d[0] == "tune_in"]
     assert sent[0][2] == 11
@@ -94,7 +94,7 @@
     for i in range(3):
         c.asked(i / 100, ask(i, top=0))
         sent += [d[2] for d in pull(c, i / 100) if d[0] == "tune_in"]
-    c.set_aside(0.1, c.streamers[12], False)
+    c.known.set_aside(0.1, c.streamers[12], False)
     c.asked(0.1, ask(9, top=0))
     sent += [d[2] for d in pull(c, 0.1) if d[0] == "tune_in"]
     assert sent[:3] == [12, 12, 12] and sent[3] in (10, 11)
@@ -118,7 +118,7 @@
     c, sent = controller(charter(probes=True, controllers=1)), []
     for i, lost in enumerate(((10,), (11, 12))):
         for st in lost:
-            c.set_aside(0.0, c.streamers[st], True)
+            c.known.set_aside(0.0, c.streamers[st], True)
             c.probed(2.0, st, Ending.PLAYED, 0.1, Load(link_capped=0.2))
         c.asked(2.0, ask(i, top=0))
         out = pull(c, 2.0)
@@ -165,13 +165,13 @@
         c.load_told(1.0, st, False, 0, 0.9)
     c.listed(1.0, "changes", (streamer(50, 0, started=1.0, rack=9),))
     pull(c, 1.5)
-    assert c.usual > 0.8 and c.use(1.5, c.streamers[50]) < 0.2
+    assert c.known.usual > 0.8 and c.known.use(1.5, c.streamers[50]) < 0.2
     c.load_told(2.0, 50, False, 0, 1.1)
-    assert c.use(2.0, c.streamers[50]) > 1.0, "what is heard counts"
+    assert c.known.use(2.0, c.streamers[50]) > 1.0, "what is heard counts"
     for st in range(10, 30):
         c.load_told(40.0, st, False, 0, 0.9)
     pull(c, 40.0)
-    assert c.use(40.0, c.streamers[50]) > 0.8, "it has warmed"
+    assert c.known.use(40.0, c.streamers[50]) > 0.8, "it has warmed"
 
 
 def test_thin_cells_count_as_their_zone_where_a_row_cannot_fill():
@@ -179,7 +179,7 @@
     c.listed(-20.0, "changes", tuple(streamer(10 + i, i, zone="b") for i in range(20)))
     hear(c, -20, 0)
     for st in range(10, 50):
-        c.table["news", st][:] = [0.2, 5.0, 5.0 * (100 if st < 30 else 50)]
+        c.table.cells["news", st][:] = [0.2, 5.0, 5.0 * (100 if st < 30 else 50)]
     for i in range(40):
         c.asked(i / 100, ask(i, top=0, holders=40))
         sent.update(d[2] < 30 for d in pull(c, i / 100) if d[0] == "tune_in")
@@ -270,8 +270,8 @@
 def test_a_steady_rate_is_no_flood_however_high():
     for rate in (1, 10, 40):
         c = controller(charter(over_share=0.1))
-        assert not any(c.floods(i / rate, "member") for i in range(30 * rate))
-    assert any(c.floods(30 + i / 400, "member") for i in range(400))
+        assert not any(c.limits.floods(i / rate, "member") for i in range(30 * rate))
+    assert any(c.limits.floods(30 + i / 400, "member") for i in range(400))
 
 
 def test_a_member_that_floods_leaves_places_to_the_others():
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -636,7 +636,7 @@
         file.write_text(file.read_text().replace("[front]", "[front]\nmetrics = 127.0.0.1:0"))
         daemon = Daemon(read_site(file))
         daemon.start()
-        until(lambda: daemon.feed.state == "following" and daemon.host.module.me == 0)
+        until(lambda: daemon.feed.state == "following" and daemon.host.module.known.me == 0)
         told = json.loads(Pool(daemon.metrics.address, 1.0).call("GET", "/list", (), b"", 2.0).body)
         assert told["source"]["state"] == "following" and len(told["streamers"]) == 3
         assert told["source"]["place"] == [0, 1]
@@ -647,7 +647,7 @@
         daemon = Daemon(read_site(file))
         daemon.start()
         assert daemon.feed.state == "remembered" and len(daemon.host.standing) == 3
-        assert daemon.host.module.me is None, "nothing to cold streamers while others cannot be known"
+        assert daemon.host.module.known.me is None, "nothing to cold streamers while others cannot be known"
         daemon.kill()
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -79,7 +79,7 @@
     at = host.lives[viewing].sent_at
     assert host.sendable(viewing, number, at + 0.001)
     assert not host.sendable(viewing, number, at + 0.001, ranked=False), "others may have its turns by now"
-    round_ = host.module.slot * 2
+    round_ = host.module.turns.slot * 2
     assert host.sendable(viewing, number, at + 0.9 * round_)
     assert not host.sendable(viewing, number, at + round_), "it would fall into its own next turn"
     host.listed(at, "changes", [host.module.streamers[st].line._replace(started=-99.0)])
@@ -290,5 +290,5 @@
     from herongap.fleet.baselines import POLICIES
 
     c = controller()
-    ours = [name for name, make in POLICIES.items() if make.pick is type(c).pick]
+    ours = [name for name, make in POLICIES.items() if make.Table.pick is type(c).Table.pick]
     assert ours == ["herongap"] and {"random", "least-used"} < set(POLICIES)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -3,6 +3,7 @@
 import pytest
 from loopback import Here
 
+from herongap.fleet.baselines import with_parts
 from herongap.fleet.checker import check
 from herongap.fleet.day import read_day, script
 from herongap.fleet.figures import Outcome, report
@@ -98,21 +99,21 @@
     assert told.ends["front-gone"] > 0 and told.tune_ins > told.statuses["201"]
 
 
-class Loses(Controller):
+class Loses:
     """Leaves some viewings without an answer."""
 
     def give_up(self, vw):
-        self.waiting.pop(vw.id, None)
+        self.known.waiting.pop(vw.id, None)
 
 
-class Repeats(Controller):
+class Repeats:
     """Sets up again whatever the terms."""
 
     def repeats_at(self, now, vw, st):
         return True
 
 
-class Unpaced(Controller):
+class Unpaced:
     """Sends cold streamers whatever comes."""
 
     def paced(self, now, st):
@@ -124,11 +125,11 @@
 
     def __init__(self, now, seed, charter):
         super().__init__(now, seed, charter)
-        for terms in self.packages.values():
+        for terms in self.known.packages.values():
             terms.floor = terms.seats = 0
 
 
-class Unbudgeted(Controller):
+class Unbudgeted:
     """Repeats without a budget."""
 
     def may_repeat(self, now):
@@ -149,12 +150,12 @@
 
 
 BROKEN = [
-    (1, Loses, None, "[trouble die]\nkind = die\nat = 0\nlasts = 4\npart = 1\n"),
-    (2, Repeats, None, "[trouble lose]\nkind = lose\nat = 0.5\nlasts = 2\npart = 0.4\n"),
+    (1, {"Placing": Loses}, None, "[trouble die]\nkind = die\nat = 0\nlasts = 4\npart = 1\n"),
+    (2, {"Limits": Repeats}, None, "[trouble lose]\nkind = lose\nat = 0.5\nlasts = 2\npart = 0.4\n"),
     (3, Undrained, unguarded, "[trouble drain]\nkind = drain\nat = 0\nlasts = 4\npart = 0.5\n"),
-    (4, Unpaced, None, "[trouble die]\nkind = die\nat = 0\nlasts = 1\npart = 1\n"),
+    (4, {"Turns": Unpaced}, None, "[trouble die]\nkind = die\nat = 0\nlasts = 1\npart = 1\n"),
     (5, Unfloored, None, "[trouble crowd]\nkind = crowd\nat = 0\nlasts = 4\nsize = 1\nextra = 1\n"),
-    (6, Unbudgeted, None, "[trouble fail]\nkind = fail\nat = 0\nlasts = 4\npart = 1\nsize = 0.7\n"),
+    (6, {"Limits": Unbudgeted}, None, "[trouble fail]\nkind = fail\nat = 0\nlasts = 4\npart = 1\nsize = 0.7"),
 ]
 
 
@@ -165,6 +166,7 @@
         text = text.replace("places = 60", "places = 16")
     if rule == 6:
         text = text.replace("length = 1.5", "length = 1.5\nextra_free = 1\nextra_share = 0.01")
+    make = with_parts(Controller, **make) if isinstance(make, dict) else make
     outcome = rehearse(tmp_path, make, spoil, text + trouble)
     found = check(outcome)
     assert {b.rule for b in found} == {rule}, found[:3]
