--- a/herongap/rules/controller.py
+++ b/herongap/rules/controller.py
@@ -38,6 +38,7 @@
 
     def asked(self, now: float, ask: Asked) -> None:
         vw = self.viewings[ask.viewing] = Viewing(ask, self.known.packages[ask.package], now)
+        self.known.named.update((None, *ask.holders))
         vw.flood = self.limits.asked(now, ask.member)
         self.wait(vw, now + HOLD * vw.package.join)
 
@@ -120,8 +121,6 @@
         if now + 0.01 >= self.wake:
             self.wake = -1e9
 
-    # What is decided.
-
     def decide(self, now: float) -> tuple | None:
         if not (answers := self.known.answers):
             self.think(now)
--- a/herongap/rules/known.py
+++ b/herongap/rules/known.py
@@ -37,8 +37,6 @@
 
 
 class Streamer:
-    """What is known of one streamer."""
-
     def __init__(self, line: Listed, link: Pipe, rack: Pipe):
         self.line, self.link, self.rack = line, link, rack
         self.share, self.back, self.started, self.since = 1.0, -1e9, -1e9, 1e18
@@ -47,8 +45,6 @@
 
 
 class Terms:
-    """The derived figures of one package."""
-
     def __init__(self, p: Package, ladder: tuple[float, ...], worths: tuple[float, ...], join_adds: float):
         self.name, self.join, self.floor, self.top = p.name, p.join_target, p.floor, p.top
         self.seats, self.repeat, self.group, self.window = p.seats, p.repeat, p.group, p.repeat_window
@@ -60,8 +56,6 @@
 
 
 class Viewing:
-    """A viewing this controller answers for or holds."""
-
     def __init__(self, ask: Asked, package: Terms, now: float):
         self.id, self.ask, self.package, self.streamer, self.waits = ask.viewing, ask, package, None, None
         self.until, self.aim = now + ask.left, now + min(package.join, ask.left)
@@ -82,6 +76,8 @@
         self.warm_up, self.cold_start = c.warm_up, c.cold_start
         self.streamers, self.viewings, self.waiting, self.seated = {}, {}, {}, Counter()
         self.usual, self.over, self.look, self.answers = 0.0, set(), False, deque()
+        # How many waited of late, on the mean; how often each shelf was asked for, and (None) anything.
+        self.queue, self.named = 0.0, Counter()
 
     def listed(self, now: float, kind: str, lines: tuple[Listed, ...]) -> None:
         for line in lines:
@@ -109,8 +105,8 @@
             # No shortage but a streamer gone silent or cut off: taken as load, it made every link look full.
             return self.set_aside(now, st, True)
         # Either the link or the rack's uplink is short: the fuller by estimate.
-        fuller = max(st.link, st.rack, key=lambda pipe: pipe.use(now, self.usual))
-        fuller.told(now, 1 / max(share, 0.1), self.late)
+        pipe = max(st.link, st.rack, key=lambda pipe: pipe.use(now, self.usual))
+        pipe.told(now, 1 / max(share, 0.1), self.late)
         self.over.add(streamer)
 
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
@@ -133,7 +129,9 @@
                 st.started = max(st.started, st.back)
 
     def tick(self, now: float) -> None:
-        """How large and full links are where nothing is heard, and what others usually ask of one."""
+        """How large and full links are where nothing is heard, what others usually ask of one, what waits."""
+        self.queue += 0.4 * (len(self.waiting) - self.queue)
+        self.named = Counter({name: 0.99 * times for name, times in self.named.items() if times > 0.01})
         racks = defaultdict(list)
         for st in self.streamers.values():
             # One that has just started has nothing, and others fill it as it warms. Taken for as full as all
--- a/herongap/rules/limits.py
+++ b/herongap/rules/limits.py
@@ -56,8 +56,8 @@
 
     def counting(self, vw: Viewing, cold: bool) -> list[str]:
         """The wholes for which a viewing's next tune-in counts."""
-        ask, sorts = vw.ask, {Counted.VIEWINGS, Counted.TUNE_INS}
-        sorts.update([Counted.FURTHER] * bool(vw.tries) + [Counted.COLD] * cold)
+        ask, more = vw.ask, [Counted.FURTHER] * bool(vw.tries) + [Counted.COLD] * cold
+        sorts = {Counted.VIEWINGS, Counted.TUNE_INS, *more}
         return [w.name for w in self.wholes if w.counted in sorts and w.package in (None, ask.package)
                 and w.member in (None, ask.member) and w.title in (None, ask.title)]
 
--- a/herongap/rules/playing.py
+++ b/herongap/rules/playing.py
@@ -20,8 +20,8 @@
     def room(self, p: Terms, rung: int) -> float:
         """How often a rung must fit again for what others may do: the cheaper its last step, the more."""
         # Others see the same room at once; what they send unheard goes by the viewings there, not by them.
-        ahead = AHEAD * (1 - 1 / max(1, self.known.controllers))
-        return ahead * (self.price / p.gain[rung] if self.price else 1.0)
+        price = self.price / p.gain[rung] if self.price else 1.0
+        return AHEAD * (1 - 1 / max(1, self.known.controllers)) * price
 
     def load_told(self, now: float, streamer: int, uplink: bool, viewing: int, ratio: float) -> None:
         k = self.known
--- a/herongap/rules/turns.py
+++ b/herongap/rules/turns.py
@@ -4,7 +4,7 @@
 from .known import Known, Streamer
 
 PACE = 0.6              # part of the allowance for cold streamers that is used
-RUSH = 4                # playing viewings that one in wait counts as where controllers share a slot
+FEW = 16                # controllers that share slots exactly: chance evens out among many alone
 
 
 class Turns:
@@ -35,11 +35,11 @@
 
     def next_turn(self, now: float, st: Streamer) -> int:
         """The slot in which this controller may next send something to a cold streamer: now, or later."""
-        # No more share a slot than viewings a streamer: among hundreds, each would wait for minutes. Those in
-        # wait for room all meet at the streamer that has just started.
+        # Among hundreds a slot is for as many as want the streamer at a time: one by one, all would wait too
+        # long. Own wants are a sample: what waits beside this one, now or of late, as far as it names it.
         k, slot = self.known, int(now / self.slot)
-        much = len(k.viewings) + RUSH * len(k.waiting)
-        turns = min(k.controllers, 1 + much * k.controllers // len(k.streamers))
+        wants = max(k.queue, len(k.waiting) - 1) * k.named[st.line.shelf] / max(k.named[None], 1)
+        turns = min(k.controllers, max(FEW, 1 + int(k.controllers * wants)))
         # A turn that was set is kept, or each viewing more would move it; one set in a crowd not beyond that.
         if not slot <= st.turn < slot + turns:
             # Each streamer's turns fall elsewhere: where several holders are cold, one of them is soon due.
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -148,7 +148,7 @@
     waited = []
     for i in range(20):
         now = 1.0 + i / 2
-        c.asked(now, ask(i, top=0))
+        c.asked(now, ask(i, top=0)._replace(holders=range(3 * i % 37, 3 * i % 37 + 3)))
         out = pull(c, now)
         while not any(d[0] in ("tune_in", "block") for d in out):
             now = max(now, c.wake)
