--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -1,11 +1,13 @@
-"""The platform's controller after SIGTERM, on loopback: an idle connection, an open one, a new one, half a line."""
+"""The platform's controller on loopback: after SIGTERM, on each sort of connection; when changes are told."""
 
 import time
 
 import gevent
 import pytest
 from helpers import closing
-from node_world import World
+from node_world import FakeResolver, World
+
+from herongap.interface import Standing
 
 
 @pytest.fixture
@@ -92,3 +94,47 @@
     half.close()
     # Late as it was it may refuse, but what reached it in time has its one answer.
     assert all(len(peer.of("up", ref)) + len(peer.of("down", ref)) == 1 for peer, ref in refs)
+
+
+def drained(w, name="s-00000000"):
+    return lambda: w.node.host.standing.get(name) is Standing.LEAVING
+
+
+def test_a_change_is_known_before_it_counts_as_told_though_answers_get_lost(world):
+    w = world(streamers=2)
+    w.until(lambda: w.resolver.asked > 1)
+    lost = []
+    w.resolver.spoil = lambda data: lost.append(1) if len(lost) < 3 else data
+    w.draining.add("s-00000000")
+    w.resolver.serial += 1
+    w.until(drained(w), 1.5 + 0.25)  # told 1.5 s after it happened at the latest, and 0.25 s for the drain
+    assert len(lost) == 3
+
+
+def test_a_change_is_known_in_time_when_the_resolver_was_silent_for_three_seconds(world):
+    w = world(streamers=2)
+    w.resolver.spoil = lambda data: None
+    w.draining.add("s-00000000")
+    w.resolver.serial += 1
+    gevent.sleep(3.0)
+    assert not drained(w)()
+    w.resolver.spoil = lambda data: data
+    w.until(drained(w), 4.5 - 3.0)
+
+
+def test_a_change_is_known_in_time_after_sighup_moved_the_resolver(world):
+    w = world(streamers=2)
+    w.until(lambda: w.resolver.asked > 1)
+    second = FakeResolver(w)
+    w.resolver.spoil = lambda data: None  # the old one no longer answers
+    w.draining.add("s-00000000")
+    second.serial = 2
+    w.configure(second.address)
+    w.node.reload()
+    w.until(drained(w), 1.0)  # of 4 s
+    second.close()
+
+
+def test_a_controller_that_has_just_started_knows_what_its_configuration_holds_at_once(world):
+    w = world(streamers=2)
+    assert set(w.node.host.standing) == set(w.streamers) and w.node.resolver.serial == 1
