--- a/benchmarks/etcd.py
+++ b/benchmarks/etcd.py
@@ -29,7 +29,7 @@
 from herongap.daemon.run import Daemon
 from herongap.fleet import worlds
 from herongap.ini import read_site
-from herongap.ini.site import Etcd as Terms
+from herongap.ini.parts import Etcd as Terms
 from herongap.rehearsal.stage import PREFIX
 from herongap.standins import Farm, Streamer, Viewer
 from herongap.standins.etcd import Etcd, fill, put
--- a/herongap/daemon/budgets.py
+++ b/herongap/daemon/budgets.py
@@ -9,7 +9,7 @@
 from herongap.accord import Commit, Kind, Shares, Tally, Terms
 from herongap.etcd import messages as m
 from herongap.etcd.follower import Item
-from herongap.ini.site import WholeTerms
+from herongap.ini.parts import WholeTerms
 
 LOOK = 0.05  # seconds between two looks at what is due; what is heard comes sooner
 log = structlog.get_logger()
--- a/herongap/daemon/dash.py
+++ b/herongap/daemon/dash.py
@@ -22,7 +22,7 @@
 from herongap.dash import MPD, Asset, Doubt, Grant, Video, manifest, read_cmcd
 from herongap.host import State
 from herongap.http import Reply, Request, problem
-from herongap.ini.site import DashPart
+from herongap.ini.parts import DashPart
 from herongap.interface import Ending
 
 JSON = "application/json"
--- a/herongap/daemon/etcd.py
+++ b/herongap/daemon/etcd.py
@@ -16,7 +16,7 @@
 from herongap.etcd import Directory, Endpoints, Follower, Frames, Membership, Need, Refused, Step, Told
 from herongap.etcd import messages as m
 from herongap.etcd.keys import changed_value
-from herongap.ini.site import Etcd
+from herongap.ini.parts import Etcd
 
 DOUBT = 0.1  # seconds between two looks at whether the lease still holds; MARGIN covers it
 PAGE = 1000  # keys of one page of a read
--- a/herongap/daemon/run.py
+++ b/herongap/daemon/run.py
@@ -63,6 +63,14 @@
             told = self._fed, self._counted, budgets, self._given
             self.feed = Feed(site.etcd, f.number, f.controllers, f.seed, self.name, clock, *told)
             self.port.budgets, self.port.ranked = self.feed.budgets or None, self.feed.ranked
+        self.whispers = None
+        if site.gossip:
+            from herongap.daemon.gossip import Whispers  # not loaded where it is off
+
+            f, life = site.front, time.time_ns() // 1_000_000
+            self.whispers = Whispers(site.gossip, f.number, life, f.zone, f.seed, clock, self._members)
+        self.place: tuple[int | None, int] = (None, site.front.controllers)
+        self.counted: tuple[int | None, int] | None = None
         self.titles = Watched(site.catalogue.file, self._catalogued, 1.0)
         self.door: Door | None = None
         self.front: Front | None = None
@@ -99,6 +107,8 @@
         self._greenlets = [gevent.spawn(run) for run in runs]
         # With etcd a front listens before it has a list: it starts on what it remembers, or blocks.
         self._greenlets += self.feed.start() if self.feed else [gevent.spawn(self.list.run)]
+        if self.whispers:
+            self._greenlets += gevent.spawn(self.whispers.listen), gevent.spawn(self.whispers.run)
         if recovery:
             self._greenlets.append(gevent.spawn(recovery.run))
         log.info("listening", address="{}:{}".format(*self.address), name=self.name)
@@ -108,6 +118,8 @@
         time.
         """
         self.intake.stopping = True
+        if self.whispers:
+            self.whispers.leave()
         until = self.clock() + self.site.front.stop_within
         log.info("stopping", held=len(self.host.lives))
         budgets = self.port.budgets
@@ -131,6 +143,8 @@
         """Close everything at once."""
         if self.feed:
             self.feed.close()
+        if self.whispers:
+            self.whispers.close()
         for server in (self.server, self.metrics):
             if server:
                 server.close()
@@ -162,7 +176,16 @@
         self.host.listed(self.clock(), kind, lines)
 
     def _counted(self, rank: int | None, count: int) -> None:
-        self.host.counted(self.clock(), rank, count)
+        self.place = rank, count
+        self._members()
+
+    def _members(self) -> None:
+        rank, count = self.place
+        if self.whispers:
+            count = self.whispers.gossip.count(count, rank is not None)
+        if self.feed and (rank, count) != self.counted:
+            self.counted = rank, count
+            self.host.counted(self.clock(), rank, count)
 
     def _given(self, whole: str, room: int) -> None:
         self.host.given(self.clock(), whole, room)
@@ -181,7 +204,8 @@
             }
             for name, standing in sorted(self.host.standing.items())
         }
-        return {"streamers": told, "source": self.feed.told() if self.feed else {"state": "file"}}
+        listing = {"streamers": told, "source": self.feed.told() if self.feed else {"state": "file"}}
+        return listing | ({"members": self.whispers.told()} if self.whispers else {})
 
     def _scraped(self, request: Request, peer: Peer) -> Reply:
         if request.method not in ("GET", "HEAD"):
--- a/herongap/fleet/arms.py
+++ b/herongap/fleet/arms.py
@@ -18,7 +18,8 @@
 from herongap.fleet.day import Day, read_day
 from herongap.fleet.figures import Outcome, report
 from herongap.fleet.model import Model
-from herongap.ini.site import Faults, Part
+from herongap.ini import Faults
+from herongap.ini.parts import Part
 
 PACKAGE = Path(__file__).resolve().parent.parent
 
--- a/herongap/fleet/day.py
+++ b/herongap/fleet/day.py
@@ -1,6 +1,4 @@
-"""A rehearsal day: its INI file checked, and the script that a seed makes of it. No I/O but reading the
-file.
-"""
+"""A rehearsal day: its INI file checked, and the script that a seed makes. No I/O but reading the file."""
 
 import configparser
 import itertools
@@ -10,7 +8,8 @@
 
 from pydantic import Field, ValidationError
 
-from herongap.ini.site import Faults, Figures, PackageTerms, Part, Seconds, Share, WholeTerms
+from herongap.ini import Faults
+from herongap.ini.parts import Figures, PackageTerms, Part, Seconds, Share, WholeTerms
 
 Whole = Annotated[int, Field(ge=1, le=10000)]
 Above = Annotated[float, Field(gt=0)]
--- a/herongap/fleet/wholes.py
+++ b/herongap/fleet/wholes.py
@@ -11,7 +11,7 @@
 
 from herongap.accord.shares import divided
 from herongap.fleet.checker import SLACK, Break, Out, Run
-from herongap.ini.site import WholeTerms
+from herongap.ini.parts import WholeTerms
 
 
 def wholes(run: Run) -> Iterator[Break]:
--- /dev/null
+++ b/herongap/ini/parts.py
@@ -0,0 +1,247 @@
+"""The sections of a front's INI file: their keys, and what each value may be."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, BeforeValidator, ConfigDict, Field
+
+from herongap.errors import Unusable
+from herongap.intake import Bounds
+
+
+class BadValue(Unusable):
+    """A value of a key that is not allowed; told with its section, key and what is."""
+
+    advice = "correct the value in the file; `herongap check FILE` says what else is wrong"
+
+
+Seconds = Annotated[float, Field(ge=0, le=86400)]
+Share = Annotated[float, Field(ge=0, le=1)]
+Rate = Annotated[float, Field(gt=0, le=1e9)]
+
+
+def _split(value):
+    return [part.strip() for part in value.split(",") if part.strip()] if isinstance(value, str) else value
+
+
+def _rising(value: list[float]) -> list[float]:
+    if any(b < a for a, b in zip(value, value[1:], strict=False)):
+        raise BadValue("values must not fall from one rung to the next")
+    return value
+
+
+def _address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise BadValue("HOST:PORT is needed, port 0 for any free one")
+    return value
+
+
+def _members(value: list[str]) -> list[str]:
+    if not value:
+        raise BadValue("at least one HOST:PORT is needed")
+    if len(set(value)) < len(value):
+        raise BadValue("a member stands there twice")
+    return [_address(member) for member in value]
+
+
+def _prefix(value: str) -> str:
+    if not value.startswith("/") or not value.endswith("/"):
+        raise BadValue("a prefix begins and ends with /")
+    return value
+
+
+Words = Annotated[list[str], BeforeValidator(_split)]
+Figures = Annotated[list[Rate], BeforeValidator(_split), AfterValidator(_rising)]
+
+
+class Part(BaseModel):
+    """A section of the file. Unknown keys are errors: a misspelt one would silently do nothing."""
+
+    model_config = ConfigDict(extra="forbid")
+
+
+class Front(Part):
+    listen: Annotated[str, AfterValidator(_address)] = "127.0.0.1:8080"
+    number: Annotated[int, Field(ge=0)] = 0
+    controllers: Annotated[int, Field(ge=1, le=100000)] = 1
+    zone: str = ""
+    seed: Annotated[int, Field(ge=0)] = 1
+    answer_ahead: Seconds = 0.05
+    linger: Seconds = 1.0
+    remember: Seconds = 60.0
+    record: str = ""
+    journal: str = ""
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    log_format: Literal["json", "console"] = "console"
+    log_to: str = "-"
+    stop_within: Seconds = 10.0
+    metrics: Annotated[str, AfterValidator(lambda value: value and _address(value))] = ""
+    ice_servers: Words = []
+
+
+class Ladder(Part):
+    rates: Figures
+    values: Annotated[list[Share], BeforeValidator(_split), AfterValidator(_rising)]
+
+
+class PackageTerms(Part):
+    protocol: Annotated[
+        list[Literal["whep", "whip", "dash"]], BeforeValidator(_split), Field(min_length=1)
+    ] = ["whep"]
+    default: bool = False
+    join_target: Annotated[float, Field(gt=0, le=600)]
+    patience: Annotated[float, Field(gt=0, le=600)]
+    value: Annotated[float, Field(gt=0)] = 1.0
+    repeat: Literal["harmless", "in_group", "harmful"] = "harmless"
+    group: Literal["all", "zone", "cell"] = "all"
+    repeat_window: Seconds = 5.0
+    scale: Rate = 1.0
+    floor: Annotated[int, Field(ge=0)] = 0
+    top: Annotated[int, Field(ge=0)] = 99
+    seats: Annotated[int, Field(ge=0)] = 0
+    live: bool = False
+
+
+class Links(Part):
+    per_weight: Rate
+    rack: Rate
+    told_late: Seconds = 0.5
+    full_from: Annotated[float, Field(ge=0, le=10)] = 0.0
+    join_adds: Share = 1.0
+    over_share: Share = 1.0
+
+
+class TuneIns(Part):
+    most: Annotated[int, Field(ge=1, le=20)] = 4
+    probes: bool = False
+    come_back: Seconds = 0.5
+    connect: Annotated[float, Field(gt=0, le=60)] = 0.25
+
+
+class Cold(Part):
+    warm_up: Annotated[float, Field(gt=0, le=86400)] = 10.0
+    start: Annotated[float, Field(gt=0, le=1)] = 0.4
+    fall_multiple: Annotated[float, Field(gt=0)] = 2.5
+
+
+class Budget(Part):
+    free: Annotated[float, Field(ge=0)]
+    share: Share
+    window: Annotated[float, Field(gt=0, le=3600)]
+
+
+class WholeTerms(Part):
+    """A [budget NAME]: a whole divided among the controllers. `linger`: how long what is held may outlast its
+    controller; `without_store`: whether a part is used until its lease ends, or not once a renewal failed.
+    """
+
+    kind: Literal["held", "rate"]
+    counts: Literal["viewings", "tune_ins", "further", "cold"]
+    package: str = ""
+    member: str = ""
+    title: str = ""
+    whole: Annotated[int, Field(ge=0, le=10**9)]
+    floor: Annotated[int, Field(ge=0)] = 0
+    window: Annotated[float, Field(ge=0, le=3600)] = 0.0
+    linger: Seconds = 0.0
+    without_store: Literal["keep", "stop"] = "keep"
+
+
+class Etcd(Part):
+    """Where the list of streamers comes from etcd. `silent`: a watch that says nothing is made anew."""
+
+    endpoints: Annotated[Words, AfterValidator(_members)]
+    prefix: Annotated[str, AfterValidator(_prefix)] = "/herongap/"
+    user: str = ""
+    password_file: str = ""
+    connect: Annotated[float, Field(gt=0, le=60)] = 0.5
+    time_out: Annotated[float, Field(gt=0, le=60)] = 2.0
+    silent: Annotated[float, Field(gt=0, le=3600)] = 15.0
+    ttl: Annotated[float, Field(ge=2, le=3600)] = 6.0
+    remembered: str = ""
+    keep: Annotated[float, Field(gt=0, le=3600)] = 1.0
+
+    def secret(self) -> str:
+        """The password, read anew each time, so that it can be changed while the front runs."""
+        return Path(self.password_file).read_text(encoding="utf-8").strip()
+
+
+class GossipPart(Part):
+    """Membership over UDP. `advertise` is where others reach `listen`, `seeds` where any of them are."""
+
+    listen: Annotated[str, AfterValidator(_address)]
+    advertise: Annotated[str, AfterValidator(lambda value: value and _address(value))] = ""
+    seeds: Words = []
+    fleet: Annotated[str, Field(min_length=1, max_length=40)] = "herongap"
+    every: Annotated[float, Field(gt=0.05, le=60)] = 0.5
+    patience: Annotated[float, Field(gt=0, le=10)] = 0.2
+
+
+class DashPart(Part):
+    """The DASH front. `token` is how long a session token lasts, `update` when a player should ask again,
+    `url` how players reach this front where the Host header does not tell.
+    """
+
+    keys: str
+    url: str = ""
+    segment: Annotated[float, Field(gt=0, le=30)] = 2.0
+    update: Annotated[float, Field(ge=0.2, le=600)] = 2.0
+    token: Annotated[float, Field(ge=2, le=86400)] = 60.0
+    rotate: Annotated[float, Field(gt=0)] = 86400.0
+    ahead: Annotated[float, Field(gt=0)] = 300.0
+
+
+class Streamers(Part):
+    list: str = ""
+    whep: str = "/whep/{title}?layer={rung}"
+    whip: str = "/whip/{title}?layer={rung}"
+    dash: str = "/dash/{title}?layer={rung}"
+    look: Annotated[float, Field(gt=0, le=60)] = 0.2
+
+
+class CatalogueFile(Part):
+    file: str
+
+
+class Token(Part):
+    secret: Annotated[str, Field(min_length=8)]
+    member: str = ""
+    packages: Words = []
+
+
+class Limits(Part):
+    """The keys are those of `herongap.intake.Bounds`."""
+
+    connections: Annotated[int, Field(ge=1)] = Bounds().connections
+    connections_a_peer: Annotated[int, Field(ge=1)] = Bounds().connections_a_peer
+    setting_up: Annotated[int, Field(ge=1)] = Bounds().setting_up
+    held: Annotated[int, Field(ge=1)] = Bounds().held
+    pace: Rate = Bounds().pace
+    burst: Annotated[float, Field(ge=1)] = Bounds().burst
+    header: Annotated[int, Field(ge=1024)] = Bounds().header
+    body: Annotated[int, Field(ge=1024)] = Bounds().body
+    header_seconds: Annotated[float, Field(gt=0)] = Bounds().header_seconds
+    body_seconds: Annotated[float, Field(gt=0)] = Bounds().body_seconds
+    idle_seconds: Annotated[float, Field(gt=0)] = Bounds().idle_seconds
+    write_seconds: Annotated[float, Field(gt=0)] = Bounds().write_seconds
+    lag: Annotated[float, Field(gt=0)] = Bounds().lag
+
+
+ONCE = {
+    "front": Front,
+    "ladder": Ladder,
+    "links": Links,
+    "tune_ins": TuneIns,
+    "cold": Cold,
+    "budget": Budget,
+    "streamers": Streamers,
+    "etcd": Etcd,
+    "dash": DashPart,
+    "gossip": GossipPart,
+    "catalogue": CatalogueFile,
+    "limits": Limits,
+}
+NAMED = {"package": PackageTerms, "token": Token, "budget": WholeTerms}
+OPTIONAL = {"front", "tune_ins", "cold", "budget", "limits", "streamers", "etcd", "dash", "gossip"}
+NO_DEFAULT = {"budget", "etcd", "dash", "gossip"}  # absent where it is not in the file
--- a/herongap/rules/turns.py
+++ b/herongap/rules/turns.py
@@ -5,7 +5,7 @@
 
 from .known import Known, Streamer
 
-PACE = 0.7              # part of the allowance for cold streamers that is used at most
+PACE = 0.65             # part of the allowance for cold streamers that is used at most
 FIRST = 0.45            # part of the join target that is taken by a first tune-in
 FEW = 16                # controllers that share slots exactly: chance evens out among many alone
 
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -26,7 +26,7 @@
 from herongap.fleet.checker import check
 from herongap.fleet.day import read_day, script
 from herongap.fleet.figures import Outcome
-from herongap.ini.site import Etcd as Terms
+from herongap.ini.parts import Etcd as Terms
 from herongap.interface import Standing
 from herongap.standins.etcd import Etcd, History, fill, put
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -10,17 +10,16 @@
     "herongap/accord/shares.py": 443,
     "herongap/daemon/wire.py": 411,
     "herongap/fleet/checker.py": 415,
-    "herongap/fleet/day.py": 489,
+    "herongap/fleet/day.py": 488,
     "herongap/fleet/model.py": 628,
     "herongap/fleet/settling.py": 415,
     "herongap/fleet/worlds.py": 483,
-    "herongap/ini/site.py": 472,
     "herongap/rehearsal/stage.py": 465,
     "herongap/standins/etcd.py": 493,
     "tests/test_accord.py": 421,
     "tests/test_budgets.py": 447,
     "tests/test_etcd.py": 734,
-    "tests/test_node.py": 459,
+    "tests/test_node.py": 435,
 }
 
 
