--- a/herongap/dash/mpd.py
+++ b/herongap/dash/mpd.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 from xml.etree import ElementTree as Xml
 
-from herongap.errors import Misuse
+from herongap.errors import Unusable
 
 MPD = "application/dash+xml"
 NAMESPACE = "urn:mpeg:dash:schema:mpd:2011"
@@ -18,7 +18,7 @@
 SHIFT = 30.0  # seconds of a live title that can be fetched
 
 
-class NoRungs(Misuse):
+class NoRungs(Unusable):
     """A manifest was asked for of rungs that an asset does not have."""
 
     advice = "check [ladder] and the packages against the catalogue; else tell the maintainers"
--- a/herongap/ini/parts.py
+++ b/herongap/ini/parts.py
@@ -123,6 +123,7 @@
     warm_up: Annotated[float, Field(gt=0, le=86400)] = 10.0
     start: Annotated[float, Field(gt=0, le=1)] = 0.4
     fall_multiple: Annotated[float, Field(gt=0)] = 2.5
+    fall_within: Annotated[float, Field(gt=0, le=60)] = 1.0
 
 
 class Budget(Part):
--- a/herongap/ini/site.py
+++ b/herongap/ini/site.py
@@ -182,6 +182,7 @@
         warm_up=cold.warm_up,
         cold_start=cold.start,
         fall_multiple=cold.fall_multiple,
+        fall_within=cold.fall_within,
         extra_free=budget.free if budget else None,
         extra_share=budget.share if budget else 0.0,
         extra_window=budget.window if budget else 0.0,
