--- a/herongap/fleet/day.py
+++ b/herongap/fleet/day.py
@@ -1,6 +1,4 @@
-"""A rehearsal day: its INI file checked, and the script that a seed makes of it. No I/O but reading the
-file.
-"""
+"""A rehearsal day: its INI file checked, and the script that a seed makes. No I/O but reading the file."""
 
 import configparser
 import itertools
@@ -10,7 +8,8 @@
 
 from pydantic import Field, ValidationError
 
-from herongap.ini.site import Faults, Figures, PackageTerms, Part, Seconds, Share, WholeTerms
+from herongap.ini import Faults
+from herongap.ini.parts import Figures, PackageTerms, Part, Seconds, Share, WholeTerms
 
 Whole = Annotated[int, Field(ge=1, le=10000)]
 Above = Annotated[float, Field(gt=0)]
@@ -471,8 +470,8 @@
         "[limits]", "pace = 100000", "burst = 100000", "connections_a_peer = 100000", "connections = 100000",
         "[ladder]", f"rates = {', '.join(map(str, s.rates))}", f"values = {', '.join(map(str, s.values))}",
         "[links]", f"per_weight = {m.link}", f"rack = {m.rack}", f"told_late = {m.told_late}",
-        f"full_from = {m.full_from}",
-        "[cold]", f"warm_up = {m.warm_up}", f"start = {m.cold_start}", f"fall_multiple = {m.fall_multiple}",
+        f"full_from = {m.full_from}", "[cold]", f"warm_up = {m.warm_up}", f"start = {m.cold_start}",
+        f"fall_multiple = {m.fall_multiple}", f"fall_within = {m.tip_after}",
         "[places]", f"std = {m.places}",
         "[budget]", f"free = {s.extra_free}", f"share = {s.extra_share}", f"window = {s.extra_window}",
         listed, "[catalogue]", "file = catalogue.json",
--- a/herongap/rules/known.py
+++ b/herongap/rules/known.py
@@ -7,8 +7,7 @@
 
 SILENT = 0.4            # share delivered under which a streamer counts as failing, not as full
 AWAY = 4.0              # how long a failing streamer is set aside, and half as much more by chance
-FADE = 16.0             # seconds in which word of others' use fades
-FORGET = 120.0          # a streamer that left is forgotten
+FADE, FORGET = 16.0, 120.0  # seconds: in which word of others' use fades; until one that left is forgotten
 
 
 class Pipe:
@@ -37,8 +36,6 @@
 
 
 class Streamer:
-    """What is known of one streamer."""
-
     def __init__(self, line: Listed, link: Pipe, rack: Pipe):
         self.line, self.link, self.rack = line, link, rack
         self.share, self.back, self.started, self.since = 1.0, -1e9, -1e9, 1e18
@@ -47,8 +44,6 @@
 
 
 class Terms:
-    """The derived figures of one package."""
-
     def __init__(self, p: Package, ladder: tuple[float, ...], worths: tuple[float, ...], join_adds: float):
         self.name, self.join, self.floor, self.top = p.name, p.join_target, p.floor, p.top
         self.seats, self.repeat, self.group, self.window = p.seats, p.repeat, p.group, p.repeat_window
@@ -60,8 +55,6 @@
 
 
 class Viewing:
-    """A viewing this controller answers for or holds."""
-
     def __init__(self, ask: Asked, package: Terms, now: float):
         self.id, self.ask, self.package, self.streamer, self.waits = ask.viewing, ask, package, None, None
         self.until, self.aim = now + ask.left, now + min(package.join, ask.left)
@@ -82,6 +75,8 @@
         self.warm_up, self.cold_start = c.warm_up, c.cold_start
         self.streamers, self.viewings, self.waiting, self.seated = {}, {}, {}, Counter()
         self.usual, self.over, self.look, self.answers = 0.0, set(), False, deque()
+        # Requests of the last seconds; how often each shelf was asked for, and (None) anything.
+        self.asks, self.named = 0.0, Counter()
 
     def listed(self, now: float, kind: str, lines: tuple[Listed, ...]) -> None:
         for line in lines:
@@ -109,8 +104,8 @@
             # No shortage but a streamer gone silent or cut off: taken as load, it made every link look full.
             return self.set_aside(now, st, True)
         # Either the link or the rack's uplink is short: the fuller by estimate.
-        fuller = max(st.link, st.rack, key=lambda pipe: pipe.use(now, self.usual))
-        fuller.told(now, 1 / max(share, 0.1), self.late)
+        pipe = max(st.link, st.rack, key=lambda pipe: pipe.use(now, self.usual))
+        pipe.told(now, 1 / max(share, 0.1), self.late)
         self.over.add(streamer)
 
     def loaded(self, now: float, st: Streamer, load: Load | None) -> None:
@@ -134,6 +129,8 @@
 
     def tick(self, now: float) -> None:
         """How large and full links are where nothing is heard, and what others usually ask of one."""
+        self.asks, named = 0.6 * self.asks, self.named
+        self.named = Counter({name: 0.99 * times for name, times in named.items() if times > 0.01})
         racks = defaultdict(list)
         for st in self.streamers.values():
             # One that has just started has nothing, and others fill it as it warms. Taken for as full as all
@@ -153,8 +150,6 @@
         # The median: one failing streamer's word must not make every other link look full.
         self.usual = max(0.0, median(fresh) if fresh else own * (self.controllers - 1))
 
-    # Bookkeeping of what plays where.
-
     def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
         self.ask(now, vw, -1)
         vw.rung = rung
--- a/herongap/rules/playing.py
+++ b/herongap/rules/playing.py
@@ -4,8 +4,7 @@
 MARK = 0.95             # part of a link or uplink that set-ups and raises may fill
 AHEAD = 2.0             # a rung above the floor must fit so many times more, as far as others meet this one
 OVER = 1.04             # use above which playing viewings are cut
-SETTLE = 1.0            # seconds that a cut has to show, beside the lateness of notes
-DWELL = 6.0             # a viewing is not raised sooner after its last step
+SETTLE, DWELL = 1.0, 6.0  # seconds: for a cut to show, beside the lateness of notes; from a step to a raise
 
 
 class Playing:
@@ -20,8 +19,8 @@
     def room(self, p: Terms, rung: int) -> float:
         """How often a rung must fit again for what others may do: the cheaper its last step, the more."""
         # Others see the same room at once; what they send unheard goes by the viewings there, not by them.
-        ahead = AHEAD * (1 - 1 / max(1, self.known.controllers))
-        return ahead * (self.price / p.gain[rung] if self.price else 1.0)
+        price = self.price / p.gain[rung] if self.price else 1.0
+        return AHEAD * (1 - 1 / max(1, self.known.controllers)) * price
 
     def load_told(self, now: float, streamer: int, uplink: bool, viewing: int, ratio: float) -> None:
         k = self.known
