Words of members hold over all interleavings of a small world; planted mistakes are found

Need: that merging by the larger is enough was argued, and tried on random orders alone.

fleet/rumours.py: one member with up to three lives, two others that suspect, judge and tell; each word ever said may reach anybody at any time, any number of times, or never. Planted: whatever came last holds, a late rumour that revives, an answer to an old life's doubt, others that raise its word: each found, on ways of at most 6 steps.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -6,9 +6,11 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from minicheck import check_safety
 
 from herongap.errors import Misuse
 from herongap.fleet.gossiping import Net
+from herongap.fleet.rumours import rumours
 from herongap.gossip import Book, Datagram, Gossip, Standing, Terms, Unreadable, Word, read, write
 from herongap.gossip import words as w
 
@@ -188,3 +190,59 @@
     g.book.merge(0.0, OTHER)
     g.book.merge(0.0, said(OTHER, number=2, standing=Standing.GONE))
     assert (g.count(1, False), g.count(5, False), g.count(1, True)) == (2, 5, 1)
+
+
+class LastHolds(Book):
+    """Believes whatever came last."""
+
+    def merge(self, now, word):
+        if word.number == self.me.number:
+            return super().merge(now, word)
+        known, self.words[word.number] = self.words.get(word.number), word
+        self._told[word.number] = 0
+        return known
+
+
+class Revives(Book):
+    """A late rumour brings back one that was judged."""
+
+    def merge(self, now, word):
+        known = self.words.get(word.number)
+        if known and known.life == word.life and (known.standing, word.standing) == (2, 0):
+            self.words[word.number] = word
+            return known
+        return super().merge(now, word)
+
+
+class AnyLife(Book):
+    """Answers what is said of an older life."""
+
+    def _refute(self, word):
+        if word.standing == Standing.ALIVE:
+            return None
+        self.say(said(self.me, raised=word.raised + 1))
+        return self.me
+
+
+class RaisesOthers(Book):
+    """Makes its word of another the larger by raising it, instead of waiting for the member itself."""
+
+    def merge(self, now, word):
+        known = self.words.get(word.number)
+        if known and word.number != self.me.number and word.standing > known.standing:
+            word = said(word, raised=word.raised + 1)
+        return super().merge(now, word)
+
+
+def test_words_of_two_lives_hold_over_all_interleavings():
+    for world in ((2, 1), (2, 2), (3, 1)):
+        found = check_safety(rumours(*world))
+        assert found["exhaustive"] and found["reachable_states"] > 1000
+        assert all(p["holds"] is True for p in found["properties"].values()), found
+
+
+@pytest.mark.parametrize("mistake, longest", [(LastHolds, 4), (Revives, 5), (AnyLife, 6), (RaisesOthers, 4)])
+def test_a_planted_mistake_in_words_is_found_by_a_short_way(mistake, longest):
+    found = check_safety(rumours(2, 2, mistake), max_states=8000)
+    ways = [p["counterexample"] for p in found["properties"].values() if p["holds"] is False]
+    assert ways and len(min(ways, key=len)) <= longest, found
