--- a/tests/members.py
+++ b/tests/members.py
@@ -12,7 +12,7 @@
 from gevent import socket
 from loopback import INI
 
-from herongap.gossip import read
+from herongap.rehearsal.datagrams import Datagrams
 
 CONTROLLER = ("-m", "herongap.rehearsal.controller")
 PLAIN = """
@@ -32,30 +32,18 @@
 
 
 class Fleet:
-    """`size` processes in one zone. `cut` holds pairs (a, b): what a says to b is lost."""
+    """`size` processes in one zone, with `relay` before them."""
 
     def __init__(self, folder, size=4, plain=()):
         self.folder, self.size, self.plain = folder, size, plain
-        self.cut, self.passed, self.dropped = set(), 0, 0
         self.real = [port(socket.SOCK_DGRAM) for _ in range(size)]
         self.metrics = [port() for _ in range(size)]
-        self.relays = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(size)]
-        for relay in self.relays:
-            relay.bind(("127.0.0.1", 0))
-        self.greenlets = [gevent.spawn(self.carry, number) for number in range(size)]
+        self.relay = Datagrams("test", 1)
+        self.said = [self.relay.before(n, ("127.0.0.1", real)) for n, real in enumerate(self.real)]
         (folder / "streamers.json").write_text('{"streamers": []}')
         (folder / "catalogue.json").write_text('{"titles": {}}')
         self.processes = [self.start(number) for number in range(size)]
 
-    def carry(self, number):
-        while True:
-            data, _ = self.relays[number].recvfrom(65536)
-            if (read(data, "test").number, number) in self.cut:
-                self.dropped += 1
-                continue
-            self.passed += 1
-            self.relays[number].sendto(data, ("127.0.0.1", self.real[number]))
-
     def start(self, number):
         at = "127.0.0.1:{}".format
         text = INI.replace("listen = 127.0.0.1:0\nrecord = {name}.record\n", "").replace(
@@ -63,9 +51,9 @@
             f"[front]\nlisten = 127.0.0.1:0\nnumber = {number}\ncontrollers = {self.size}\n"
             f"metrics = {at(self.metrics[number])}\nlog_to = log-{number}\n",
         )
-        seeds = ", ".join(at(r.getsockname()[1]) for r in self.relays)
+        seeds = ", ".join(at(address[1]) for address in self.said)
         text += f"[gossip]\nlisten = {at(self.real[number])}\nfleet = test\nevery = 0.25\nseeds = {seeds}\n"
-        text += f"advertise = {at(self.relays[number].getsockname()[1])}\n"
+        text += f"advertise = {at(self.said[number][1])}\n"
         path = self.folder / f"front-{number}.ini"
         path.write_text(text)
         how = ("-c", PLAIN) if number in self.plain else CONTROLLER
@@ -76,15 +64,15 @@
     def told(self, number) -> dict:
         """What one says of the members; {} while it does not listen yet."""
         pool = gevent.get_hub().threadpool
+        return pool.apply(self._get, (number,))
+
+    def _get(self, number):
         try:
-            return json.loads(pool.apply(self._get, (number,)))["members"]
+            with urllib.request.urlopen(f"http://127.0.0.1:{self.metrics[number]}/list", timeout=2) as reply:
+                return json.load(reply)["members"]
         except OSError:
             return {}
 
-    def _get(self, number):
-        with urllib.request.urlopen(f"http://127.0.0.1:{self.metrics[number]}/list", timeout=2) as reply:
-            return reply.read()
-
     def standing(self, of, at) -> str:
         return self.told(at).get("members", {}).get(str(of), {}).get("standing", "")
 
@@ -106,10 +94,7 @@
         for process in self.processes:
             process.kill()
             process.wait()
-        for greenlet in self.greenlets:
-            greenlet.kill()
-        for relay in self.relays:
-            relay.close()
+        self.relay.close()
 
 
 __all__ = ["Fleet", "signal"]
