A datagram is not read again to count its words, and members are told of only when a word changed

Seen on reading the change: each datagram sent was decoded again to learn how many words had fitted (words.fitted says it now), and each one sent or heard built the whole table of members anew to see whether it had changed (the book counts its changes). answered_at was written and never read. No word, bound or time differs; 40 tests of gossip, members and restarts pass. Not measured apart.

--- a/herongap/daemon/gossip.py
+++ b/herongap/daemon/gossip.py
@@ -32,6 +32,7 @@
         self.gossip = Gossip(clock(), me, part.fleet, terms, seed)
         self.gossip.known([read_address(seed) for seed in part.seeds])
         self.before: dict[int, tuple[int, Standing]] = {}
+        self.said = -1  # the changes of the book that were told so far
 
     def run(self) -> None:
         """Ask whenever something is due, for ever."""
@@ -62,6 +63,9 @@
         self._say()
 
     def _say(self) -> None:
+        if self.said == self.gossip.book.changes:
+            return
+        self.said = self.gossip.book.changes
         now = {n: (x.life, Standing(x.standing)) for n, x in self.gossip.book.words.items()}
         if now == self.before:
             return
--- a/herongap/gossip/book.py
+++ b/herongap/gossip/book.py
@@ -31,6 +31,7 @@
         self.me = me
         self.words: dict[int, Word] = {me.number: me}
         self.ended: dict[int, float] = {}
+        self.changes = 0  # so far, in any word
         self._told: dict[int, int] = {me.number: 0}
 
     def merge(self, now: float, word: Word) -> Word | None:
@@ -46,6 +47,7 @@
         else:
             self._told[word.number] = 0
         self.words[word.number] = word
+        self.changes += 1
         if word.standing >= Standing.GONE:
             self.ended.setdefault(word.number, now)
         else:
@@ -65,6 +67,7 @@
     def say(self, mine: Word) -> None:
         """Our own word, raised or ended; told anew to everybody."""
         self.me = self.words[mine.number] = mine
+        self.changes += 1
         self._told[mine.number] = 0
 
     def live(self) -> Iterator[Word]:
@@ -92,3 +95,4 @@
         """Drop those that ended long ago: names of a thousand restarts must not pile up."""
         for number in [n for n, at in self.ended.items() if now - at > KEEP]:
             del self.ended[number], self.words[number], self._told[number]
+            self.changes += 1
--- a/herongap/gossip/gossip.py
+++ b/herongap/gossip/gossip.py
@@ -77,7 +77,6 @@
         self.book = Book(me)
         self.seeds: list[Address] = []
         self.heard_at: dict[int, float] = {}  # when a member was last heard directly
-        self.answered_at: dict[int, float] = {}  # when one last answered us directly
         self.deaf_to_me: dict[int, float] = {}  # who says that it does not hear us, and when
         self.doubts: dict[int, Doubt] = {}
         self.probes: dict[int, Probe] = {}
@@ -182,7 +181,7 @@
                 # Whoever is doubted hears of it from whom it asks, and can answer at once.
                 return [self._send(host, port, w.ACK, d.turn, first=(d.number,))]
             case w.ACK:
-                return self._acked(now, d)
+                return self._acked(d)
             case w.ASK:
                 target = self.book.words.get(d.about)
                 if target is None:
@@ -202,10 +201,9 @@
                 return self._caught_up(now)
         return []
 
-    def _acked(self, now: float, d: Datagram) -> Out:
+    def _acked(self, d: Datagram) -> Out:
         if probe := self.probes.pop(d.turn, None):
             if probe.life == d.life:
-                self.answered_at[d.number] = now
                 self.health = max(0, self.health - 1)
         elif errand := self.errands.pop(d.turn, None):
             (host, port), theirs, number, _ = errand
@@ -258,7 +256,7 @@
         else:
             self.doubts.pop(word.number, None)
         if before.life != word.life:
-            for known in (self.heard_at, self.answered_at, self.deaf_to_me):
+            for known in (self.heard_at, self.deaf_to_me):
                 known.pop(word.number, None)
         if word.standing < Standing.GONE:
             self.heard_at.setdefault(word.number, now)
@@ -356,9 +354,9 @@
         deaf = tuple(self.deaf(now)[:MOST_DEAF]) if now is not None else ()
         said = page or self.book.news(first)
         datagram = Datagram(w.VERSION, self.fleet, kind, me.number, me.life, turn, about, good, deaf, said)
-        data = w.write(datagram)
+        data, fitted = w.fitted(datagram)
         if not page:
-            self.book.told(said[: len(w.read(data, self.fleet).words)])
+            self.book.told(fitted)
         self.counts["sent"] += 1
         self.counts["bytes"] += len(data)
         return (host, port), data
--- a/herongap/gossip/words.py
+++ b/herongap/gossip/words.py
@@ -62,14 +62,19 @@
 _decode = msgspec.msgpack.Decoder(Datagram).decode
 
 
-def write(datagram: Datagram) -> bytes:
-    """The bytes of a datagram, with as many of its words as fit."""
+def fitted(datagram: Datagram) -> tuple[bytes, tuple[Word, ...]]:
+    """The bytes of a datagram with as many of its words as fit, and those words."""
     data = _encode(datagram)
     while len(data) > MOST:
         fewer = min(len(datagram.words) * MOST // len(data), len(datagram.words) - 1)
         datagram = msgspec.structs.replace(datagram, words=datagram.words[:fewer])
         data = _encode(datagram)
-    return data
+    return data, datagram.words
+
+
+def write(datagram: Datagram) -> bytes:
+    """The bytes of a datagram, with as many of its words as fit."""
+    return fitted(datagram)[0]
 
 
 def read(data: bytes, fleet: str) -> Datagram:
