--- a/herongap/cli/rehearse.py
+++ b/herongap/cli/rehearse.py
@@ -32,7 +32,7 @@
     """
     from herongap import rehearsal
     from herongap.fleet.baselines import POLICIES
-    from herongap.fleet.checker import check
+    from herongap.fleet.checker import judged
     from herongap.fleet.day import read_day
     from herongap.fleet.figures import report
     from herongap.fleet.seen import Run
@@ -50,10 +50,11 @@
     near = Path(tempfile.mkdtemp(prefix="herongap-rehearsal-")) if folder is None else folder
     try:
         outcome = rehearsal.play(day, near, seed, policy)
-        breaks = check(outcome)
+        run = Run(outcome)
+        breaks = judged(run)
         told = report(outcome, breaks)
         replays = _replays(near, POLICIES[policy])
-        divided = tally(Run(outcome)) if day.wholes else None
+        divided = tally(run) if day.wholes else None
         if as_json:
             click.echo(json.dumps({
                 "seed": seed, "policy": policy, **told._asdict(),
--- a/herongap/fleet/checker.py
+++ b/herongap/fleet/checker.py
@@ -17,7 +17,11 @@
 
 def check(outcome: Outcome) -> list[Break]:
     """All breaks of a rehearsal, in the order of their rules and times."""
-    run = Run(outcome)
+    return judged(Run(outcome))
+
+
+def judged(run: Run) -> list[Break]:
+    """The same, of logs that have been put together already."""
     rules = [answers, set_ups, drains, cold, floors, seats, budget, wholes]
     found = [b for rule in rules for b in rule(run)]
     return sorted(found, key=lambda b: (b.rule, b.at))
