--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,9 @@
 """A small deployment for the tests, and a host that pulls decisions."""
 
+import time
+
+import gevent
+
 from herongap.interface import Asked, Charter, Group, Listed, Package, Repeat, Standing
 from herongap.rules import Controller
 
@@ -69,6 +73,15 @@
         pull(c, float(second))
 
 
+def until(true, seconds: float = 8.0, look: float = 0.005) -> float:
+    """Wait for what will come, however slow the machine is, and fail if it does not; seconds that it took."""
+    began = time.monotonic()
+    while not true():
+        assert time.monotonic() < began + seconds, "it never came"
+        gevent.sleep(look)
+    return time.monotonic() - began
+
+
 def closing(kind, *args):
     """For a fixture: yields a function that makes a `kind`, and closes all that it made at the end."""
     made = []
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -2,9 +2,9 @@
 
 import json
 import os
-import time
 
 import gevent
+from helpers import until
 
 from herongap.daemon.run import Daemon
 from herongap.ini import read_site
@@ -95,11 +95,7 @@
         return sum(len(st.sessions) for st in self.streamers)
 
     def until(self, true, seconds=5.0) -> None:
-        """Wait for something that will come, however slow the machine is; fails if it does not."""
-        end = time.monotonic() + seconds
-        while not true():
-            assert time.monotonic() < end, "it never came"
-            gevent.sleep(0.005)
+        until(true, seconds)
 
     def close(self) -> None:
         self.daemon.kill()
--- a/tests/members.py
+++ b/tests/members.py
@@ -5,11 +5,11 @@
 import signal
 import subprocess
 import sys
-import time
 import urllib.request
 
 import gevent
 from gevent import socket
+from helpers import until
 from loopback import INI
 
 from herongap.rehearsal.datagrams import Datagrams
@@ -81,11 +81,7 @@
         return all(self.standing(of, n) == wanted for n in at for of, wanted in standings.items())
 
     def until(self, true, seconds) -> float:
-        began = time.monotonic()
-        while not true():
-            assert time.monotonic() < began + seconds, "it never came"
-            gevent.sleep(0.05)
-        return time.monotonic() - began
+        return until(true, seconds, look=0.05)
 
     def signal(self, number, which):
         os.kill(self.processes[number].pid, which)
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -2,13 +2,13 @@
 
 import json
 import socket as plain
-import time
 
 import dns.flags
 import dns.message
 import dns.rrset
 import gevent
 from gevent import socket
+from helpers import until
 
 from herongap.daemon.listen import listen
 from herongap.node.run import Node
@@ -207,10 +207,7 @@
         return ref
 
     def until(self, true, seconds=3.0):
-        end = time.monotonic() + seconds
-        while not true():
-            assert time.monotonic() < end, "did not come about"
-            gevent.sleep(0.005)
+        until(true, seconds)
 
     def close(self):
         for part in (*self.peers, *self.streamers.values(), self.resolver):
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 from click.testing import CliRunner
+from helpers import until
 from hypothesis import given
 from hypothesis import strategies as st
 from minicheck import check_liveness, check_safety
@@ -345,13 +346,6 @@
         etcd.close()
 
 
-def until(true, seconds=8.0):
-    end = time.monotonic() + seconds
-    while not true():
-        assert time.monotonic() < end, "it never came"
-        gevent.sleep(0.002)
-
-
 def drain(etcd, name):
     put(etcd.history, f"{PREFIX}drains/{name}", v=1)
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -26,7 +26,7 @@
     "herongap/standins/etcd.py": 493,
     "tests/test_accord.py": 421,
     "tests/test_budgets.py": 447,
-    "tests/test_etcd.py": 734,
+    "tests/test_etcd.py": 728,
     "tests/test_node.py": 435,
 }
 
