An attempt leaves only after what its client sent last has been read

Seen (tests/test_gone.py, real connections): a client closes, resets or cancels while its request waits for a further attempt, for its turn at a cold streamer, for a connection that comes up 1 s late, or behind a full buffer; a controller that comes late finds the close and the moment to go on in one round of its loop, and libev runs the newest event first.

At fault: Streamers.tune_in sent from within the host's call, before other events of the round were heard; _reach and _send looked at the attempt and its drain and never at whose it was; Wire kept a whole set-up in one buffer and could not take it back, so it left after its own cancellation.

Ruled out: the module (it forgets at `left`), the time-out (the host runs what is due first once it is told).

Mend: an attempt leaves from a greenlet of its own. `_stays` first lets what is due happen and reads, without waiting, all that lies unread on its client's connection (`Wire.look`): cancellations, the end, and other sessions' set-ups in their order. Messages are kept one by one; one of which nothing has left is withdrawn, one of which a part has left goes with its connection, and none is put behind another. An answer that never left whole, or found its client gone, is no viewing: it is let go at its streamer. A set-up that never left whole is told as unreached, since nothing ran.

On the way, same lines: a connection closed before its reader first ran told nobody and kept its descriptor (Wire.close relied on the reader); connections still for longer than the settings' idle time were used, and for 10 s whatever the settings say; a streamer whose address changed was sent set-ups on a connection that had been half-closed; a release owed to one that could not be reached was tried once; each dial had a thread look up a number.

--- a/herongap/crowd.py
+++ b/herongap/crowd.py
@@ -10,20 +10,26 @@
 MUTE = 2.0  # seconds in which a new connection must have said something, and a line must have ended
 LAG = 0.15  # seconds by which a process may come late to its own times before it turns set-ups away
 SPARE = 2  # idle connections to one streamer that are kept
-STALE = 10.0  # seconds after which an idle one beyond that is closed
+STALE = 1 / 3  # of the time after which its streamer closes an idle one: those beyond that are closed
 DOUBT = 1.0  # seconds that a connection to a streamer has to show that it lives
 
 
-def worn(now: float, lines: Iterable, room: bool) -> list:
-    """The connections to one streamer that are to be closed; `room` tells whether descriptors are left.
+def worn(now: float, lines: Iterable, room: bool, idle: float) -> list:
+    """The connections to one streamer that are to be closed; `room` tells whether descriptors are left,
+    `idle` for how many seconds one may be still before its streamer might close it under a set-up.
 
     A connection has `outs`, the set-ups that it carries, `spoke`, when its streamer last said something on
     it, and `doubted`, since when it may be dead, or None.
     """
     free = sorted((line for line in lines if not line.outs), key=lambda line: line.spoke)
-    dead = [line for line in free if line.doubted is not None and now - line.doubted > DOUBT]
-    spare = free[: max(0, len(free) - SPARE)]
-    return dead + [line for line in spare if now - line.spoke > (STALE if room else 0.0) and line not in dead]
+    beyond = free[: max(0, len(free) - SPARE)]
+    stale = STALE * idle if room else 0.0
+    return [
+        line
+        for line in free
+        if (line.doubted is not None and now - line.doubted > DOUBT)
+        or now - line.spoke > (stale if line in beyond else idle)
+    ]
 
 
 class Known(NamedTuple):
@@ -35,10 +41,10 @@
 
 
 class Crowd:
-    """All viewers' connections; `most` are kept."""
+    """All viewers' connections; `most` are kept, and up to `limit` where none of them may be closed."""
 
-    def __init__(self, most: int):
-        self.most = most
+    def __init__(self, most: int, limit: int | None = None):
+        self.most, self.limit = most, most if limit is None else limit
         self.known: dict[Hashable, Known] = {}
         self.half: dict[Hashable, float] = {}
         self.behind = 0.0
@@ -54,7 +60,8 @@
     def came(self, now: float, who: Hashable, quiet: Callable[[Hashable], bool]) -> list:
         """One more connection; those to be closed for it: mute ones first, then those longest without use.
 
-        `quiet` tells whether nothing of a connection is still unread: a request on its way is not cut off.
+        `quiet` tells whether nothing of a connection is still unread, or unsent: a request on its way is not
+        cut off, nor an answer. Nor is the newcomer, which may have sent its request already, up to `limit`.
         """
         self.known[who] = Known(now, None, 0)
         over = len(self.known) - self.most
@@ -68,7 +75,8 @@
                 break
             if quiet(victim):
                 victims.append(victim)
-        victims = victims or [who]
+        if len(self.known) - len(victims) > self.limit:
+            victims.append(who)
         for victim in victims:
             self.went(victim)
         return victims
--- /dev/null
+++ b/herongap/node/far.py
@@ -0,0 +1,79 @@
+"""One streamer as its sockets show it: its connections, the set-ups on them, what it is still to be told."""
+
+from collections.abc import Callable
+
+from gevent import socket
+
+from herongap.host.pulse import TESTED, Pulse
+from herongap.interface import Asked
+from herongap.node.wire import Wire
+
+Address = tuple[str, int]
+
+
+def dial(address: Address, time_out: float) -> socket.socket:
+    """A connection that has come up within `time_out` seconds; raises OSError."""
+    # Not `create_connection`, which has a thread look every address up, numbers too.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(time_out)
+        sock.connect(address)
+    except BaseException:
+        sock.close()
+        raise
+    sock.settimeout(None)
+    return sock
+
+
+class Out:
+    """A tune-in that is out: on its line, as the message `sent`, or waiting for one."""
+
+    __slots__ = ("ask", "number", "rung", "until", "line", "sent")
+
+    def __init__(self, ask: Asked, number: int, rung: int, until: float):
+        self.ask, self.number, self.rung, self.until, self.line = ask, number, rung, until, None
+        self.sent = b""
+
+
+class Line(Wire):
+    """A connection to a streamer, with the set-ups that it carries.
+
+    `doubted` is since when it may be dead, as a set-up on it had no answer; None once it has spoken again.
+    """
+
+    def __init__(self, sock, far: "Far", heard: Callable, lost: Callable, now: float):
+        self.far, self.outs, self.spoke, self.doubted = far, {}, now, None
+        super().__init__(sock, far.name, heard, lost)
+
+
+class Far:
+    """One streamer as its sockets show it."""
+
+    def __init__(self, name: str, address: Address, now: float):
+        self.name, self.address, self.pulse = name, address, Pulse(now, TESTED)
+        self.lines: set[Line] = set()
+        self.owed: list[tuple[bytes, float]] = []  # messages for the next that opens, and until when
+        self.connecting = 0
+        self.told_silent = self.gone = False
+
+    def pay(self, line: Line, now: float) -> None:
+        """Tell on a connection that has just come up what is owed."""
+        owed, self.owed = self.owed, []
+        self.owed = [(message, until) for message, until in owed if until > now and not line.send(message)]
+
+    def owes(self, now: float) -> bool:
+        """Whether something is still worth telling."""
+        self.owed = [(message, until) for message, until in self.owed if until > now]
+        return bool(self.owed)
+
+    def sound(self, free: bool, now: float, idle: float) -> Line | None:
+        """The connection that spoke last of those that stand as far as can be told: not doubted, with nothing
+        that its streamer has left unread, still for under `idle` seconds; `free` of set-ups where wanted.
+        """
+        for line in sorted(self.lines, key=lambda line: -line.spoke):
+            usable = not (line.finished or line.behind or (free and line.outs)) and now - line.spoke < idle
+            if usable and line.doubted is None:
+                if line.stands():
+                    return line
+                line.doubted = now
+        return None
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -44,7 +44,7 @@
         self.path, self.clock = path, clock or unix_clock()
         self.launch = load(path)
         launch = self.launch
-        self.port = Streamers(launch.connect, launch.sockets // 3, self.clock)
+        self.port = Streamers(launch, self.clock)
         now = self.clock()
         self.host = Host(now, launch.seed, launch.charter, self.port)
         self.port.host = self.host
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -5,74 +5,45 @@
 
 from collections import Counter
 from collections.abc import Callable
+from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
 from itertools import count
 
 import gevent
 import structlog
-from gevent import socket
 
 from herongap.crowd import worn
 from herongap.daemon.alarm import Alarm
 from herongap.host import Answer, Host, State
-from herongap.host.pulse import TESTED, Pulse, Word
+from herongap.host.pulse import Word
 from herongap.interface import Asked, Ending, Load
-from herongap.node.wire import Wire
+from herongap.node.far import Address, Far, Line, Out, dial
 from herongap.platform import messages
+from herongap.platform.launch import Launch
 from herongap.platform.messages import Message, Unfit, Unreadable
 
-Address = tuple[str, int]
 log = structlog.get_logger()
+OURS = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # what keeps a connection from coming up here, not at its streamer
 QUIET = 0.4  # seconds without a word after which one that plays for us is tested
-LATE = 15.0  # seconds for which the answer to a tune-in given up is known for what it is
-
-
-class Out:
-    """A tune-in that is out: on its line, or waiting for one."""
-
-    __slots__ = ("ask", "number", "rung", "until", "line")
-
-    def __init__(self, ask: Asked, number: int, rung: int, until: float):
-        self.ask, self.number, self.rung, self.until, self.line = ask, number, rung, until, None
-
-
-class Line(Wire):
-    """A connection to a streamer, with the set-ups that it carries.
-
-    `doubted` is since when it may be dead, as a set-up on it had no answer; None once it has spoken again.
-    One that is `finished` is only read to its end.
-    """
-
-    def __init__(self, sock, far: "Far", heard: Callable, lost: Callable, now: float):
-        self.far, self.outs, self.spoke, self.doubted, self.finished = far, {}, now, None, False
-        super().__init__(sock, far.name, heard, lost)
-
-
-class Far:
-    """One streamer as its sockets show it."""
-
-    def __init__(self, name: str, address: Address, now: float):
-        self.name, self.address, self.pulse = name, address, Pulse(now, TESTED)
-        self.lines: set[Line] = set()
-        self.owed: list[bytes] = []
-        self.connecting = 0
-        self.told_silent = self.gone = False
-
-    def best(self, free: bool) -> Line | None:
-        """The connection that spoke last among those not doubted, and `free` of set-ups if that is wanted."""
-        lines = [line for line in self.lines if line.doubted is None and not (free and line.outs)]
-        return max(lines, key=lambda line: line.spoke, default=None)
 
 
 class Streamers:
     """Carries between the host and the streamers. `viewers` gets what is for viewers."""
 
-    def __init__(self, connect: float, most: int, clock: Callable[[], float]):
-        self.connect, self.most, self.clock = connect, most, clock
+    def __init__(self, launch: Launch, clock: Callable[[], float]):
+        self.connect, self.clock = launch.connect, clock
+        # Descriptors: beyond `most` set-ups share connections, beyond `limit` none is dialled.
+        self.most, self.limit = launch.sockets // 3, launch.sockets // 3 + launch.sockets // 20
+        # Connections that have been still for longer may be closed there while a set-up is on its way.
+        self.idle = launch.idle - launch.connect
+        # For how long the answer to a tune-in given up is known for what it is.
+        self.late = launch.longest + messages.OWED
         self.host: Host | None = None
         self.viewers = None
         self.fars: dict[str, Far] = {}
         self.outs: dict[tuple[str, str], Out] = {}
         self.given_up: dict[tuple[str, str], float] = {}
+        # Ends of viewings that nobody has handed over yet: a release may come before the set-up with `at`.
+        self.released: dict[tuple[str, str], tuple[Ending, float]] = {}
         self.alarm = Alarm(clock)
         self._tests = count(1)
         self.probes: dict[str, tuple[str, float]] = {}
@@ -105,13 +76,8 @@
 
     def tune_in(self, ask: Asked, number: int, streamer: str, rung: int, time_out: float) -> None:
         out = self.outs[streamer, ask.viewing] = Out(ask, number, rung, self.clock() + time_out)
-        far = self.fars[streamer]
-        while line := far.best(free=self.room()):
-            if line.stands():
-                self._send(line, out)
-                return
-            line.doubted = self.clock()
-        gevent.spawn(self._reach, far, out)
+        # Not from within the host's call: all that the system has told by now is heard first.
+        gevent.spawn(self._leave, self.fars[streamer], out)
 
     def lines(self) -> list[Line]:
         """All connections to streamers."""
@@ -119,7 +85,14 @@
 
     def room(self) -> bool:
         """Whether descriptors are left for a connection of its own to each set-up."""
-        return sum(len(far.lines) + far.connecting for far in self.fars.values()) < self.most
+        return self._open_ones() < self.most
+
+    def _open_ones(self) -> int:
+        return sum(len(far.lines) + far.connecting for far in self.fars.values())
+
+    def ended(self, viewing: str, streamer: str) -> Ending | None:
+        """How a viewing that is handed over only now has ended already, if it has."""
+        return self.released.pop((streamer, viewing), (None,))[0]
 
     def call_off(self, viewing: str, number: int, streamer: str) -> None:
         if out := self.outs.pop((streamer, viewing), None):
@@ -165,51 +138,69 @@
 
     def _open(self, far: Far, time_out: float) -> Line:
         """A new connection; raises OSError."""
+        if self._open_ones() >= self.limit:
+            raise OSError(EMFILE, "as many connections to streamers as descriptors allow")
         far.connecting += 1
         try:
-            sock = socket.create_connection(far.address, timeout=time_out)
+            sock = dial(far.address, time_out)
         finally:
             far.connecting -= 1
-        sock.settimeout(None)
         line = Line(sock, far, self._heard, self._lost, self.clock())
         far.lines.add(line)
         far.pulse.broken = None
-        owed, far.owed = far.owed, []
-        for message in owed:
-            line.send(message)
+        far.pay(line, self.clock())
         return line
 
-    def _reach(self, far: Far, out: Out) -> None:
-        key = far.name, out.ask.viewing
-        try:
-            line = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
-        except OSError as fault:
-            if self.outs.get(key) is out:
-                del self.outs[key]
-                log.info("streamer not reached", streamer=far.name, cause=str(fault))
-                self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.UNREACHED)
-            return
-        if self.outs.get(key) is not out:
-            return
-        if not self.host.sendable(out.ask.viewing, out.number, self.clock()):
-            # Its drain was heard while the connection came up: it never left, and the streamer is sound.
-            del self.outs[key]
-            self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.FULL, Load())
+    def _leave(self, far: Far, out: Out) -> None:
+        """Send a tune-in on its way, on a connection that may have to come up first."""
+        if not self._stays(far, out):
             return
+        if (line := far.sound(self.room(), self.clock(), self.idle)) is None:
+            try:
+                line = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
+            except OSError as fault:
+                if self.outs.pop((far.name, out.ask.viewing), None) is out:
+                    log.info("streamer not reached", streamer=far.name, cause=str(fault))
+                    never = fault.errno in OURS
+                    how = (Ending.FULL, Load()) if never else (Ending.UNREACHED, None)
+                    self.host.ended(self.clock(), out.ask.viewing, out.number, *how)
+                return
+            if not self._stays(far, out):
+                return
         self._send(line, out)
 
+    def _stays(self, far: Far, out: Out) -> bool:
+        """Whether a tune-in may still leave, here and now: nothing runs between this and its sending."""
+        key, viewing = (far.name, out.ask.viewing), out.ask.viewing
+        # What is due comes first, also in a process that is late; and whoever asked may have gone meanwhile.
+        self.host.woke(self.clock())
+        while self.outs.get(key) is out and not self.viewers.look(viewing):
+            gevent.sleep(0)
+        if self.outs.get(key) is not out:
+            return False
+        if self.host.sendable(viewing, out.number, self.clock()):
+            return True
+        # Its drain was heard meanwhile: it never left, and the streamer is sound.
+        del self.outs[key]
+        self.host.ended(self.clock(), viewing, out.number, Ending.FULL, Load())
+        return False
+
     def _send(self, line: Line, out: Out) -> None:
-        left = out.until - self.clock()
         out.line, line.outs[out.ask.viewing] = line, out
+        offer = self.viewers.description(out.ask.viewing)
+        out.sent = messages.set_up(out.ask, out.rung, out.until - self.clock(), offer)
         # Whether a write that failed reached its reader nobody knows: the line's end tells the host.
-        line.send(messages.set_up(out.ask, out.rung, left, self.viewers.description(out.ask.viewing)))
+        line.send(out.sent)
 
     def _say(self, far: Far, message: bytes) -> None:
         """Something that concerns no set-up that is out: on any connection, else on the next."""
-        line = far.best(free=False)
+        line = far.sound(False, self.clock(), self.idle)
         if line is None or not line.send(message):
-            far.owed.append(message)
-            self._need(far)
+            self._owe(far, message)
+
+    def _owe(self, far: Far, message: bytes) -> None:
+        far.owed.append((message, self.clock() + messages.OWED))
+        self._need(far)
 
     def _need(self, far: Far) -> None:
         if not far.connecting:
@@ -225,16 +216,23 @@
             if far.pulse.broke(self.clock(), True):
                 self._gone(far, "refused")
         except OSError as fault:
-            log.debug("streamer not reached", streamer=far.name, cause=str(fault))
+            log.debug("streamer not reached", streamer=far.name, cause=str(fault))  # tried again by `tend`
 
     def _take_back(self, far: Far, out: Out) -> None:
-        if (line := out.line) and line.outs.pop(out.ask.viewing, None):
-            line.send(messages.down(out.ask.viewing, messages.ENDED))
-            self.given_up[far.name, out.ask.viewing] = self.clock() + LATE
-            if line.doubted is None:
-                # It bears the next set-up once it has shown that it lives.
-                line.doubted = self.clock()
-                line.send(messages.hb(self._test()))
+        if not (line := out.line) or not line.outs.pop(out.ask.viewing, None) or line.withdraw(out.sent):
+            return  # nothing of it has left
+        if line.unsent(out.sent) and not line.outs:
+            # A part of it waits in our own buffer: cut off it is no set-up, sent whole it would be one.
+            line.close("taken back before it had left")
+            return
+        self.given_up[far.name, out.ask.viewing] = self.clock() + self.late
+        release = messages.down(out.ask.viewing, messages.ENDED)
+        if not line.send(release):
+            self._owe(far, release)
+        elif line.doubted is None:
+            # It bears the next set-up once it has shown that it lives.
+            line.doubted = self.clock()
+            line.send(messages.hb(self._test()))
 
     def _test(self) -> str:
         return f"{next(self._tests):016x}"
@@ -251,10 +249,13 @@
                 continue
             del self.outs[key]
             log.info("connection lost under a tune-in", streamer=far.name, cause=line.cause)
+            if line.unsent(out.sent):
+                # It never left whole, so nothing ran.
+                self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.UNREACHED)
+                continue
             # It may have run, and may play there to nobody.
-            far.owed.append(messages.down(out.ask.viewing, messages.ENDED))
-            self.given_up[key] = self.clock() + LATE
-            self._need(far)
+            self._owe(far, messages.down(out.ask.viewing, messages.ENDED))
+            self.given_up[key] = self.clock() + self.late
             self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.BROKEN)
 
     def _gone(self, far: Far, cause: str) -> None:
@@ -274,14 +275,16 @@
         held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
         tuned = {name for name, _ in self.outs}
         for far in list(self.fars.values()):
-            for line in worn(now, far.lines, self.room()):
+            for line in worn(now, far.lines, self.room(), self.idle):
                 # Not closed at once: a release on its way here would be lost with it, and is never sent again
                 # unless another connection opens.
                 if line.finished:
                     line.close("its streamer does not let go")
                 else:
-                    line.finished, line.doubted = True, now
+                    line.doubted = now
                     line.finish()
+            if far.owes(now) and not far.gone:
+                self._need(far)
             if held[far.name]:
                 self._test_far(far, now)
                 continue
@@ -293,8 +296,8 @@
                 del self.fars[far.name]
             far.pulse.spoke(now)
             far.told_silent = False
-        for key in [key for key, until in self.given_up.items() if until <= now]:
-            del self.given_up[key]
+        self.given_up = {key: until for key, until in self.given_up.items() if until > now}
+        self.released = {key: end for key, end in self.released.items() if end[1] > now}
         for ref in [ref for ref, (_, at) in self.probes.items() if now - at > 0.5]:
             streamer, at = self.probes.pop(ref)
             self.host.probed(now, streamer, Ending.TIMED_OUT, now - at, None)
@@ -312,7 +315,8 @@
             held = self.host.held(far.name)
             self._gone(far, "silent")
             # If it lives after all, only cut off from here, it is to let go of what nobody here knows.
-            far.owed += [messages.down(viewing, messages.ENDED) for viewing, _ in held]
+            for viewing, _ in held:
+                self._owe(far, messages.down(viewing, messages.ENDED))
             far.pulse.spoke(now)
         elif word is Word.SILENT and not far.told_silent:
             far.told_silent = True
@@ -352,6 +356,7 @@
         key = far.name, m.ref
         if not m.d:
             raise Unfit("an answer without a description")
+        self.viewers.look(m.ref)  # whoever asked may have gone: that may lie unread
         out = self.outs.get(key)
         if out is not None and out.line is line:
             load = messages.load(m)
@@ -372,11 +377,11 @@
                 how = messages.BEFORE.get(m.c, Ending.BROKEN)
                 self.host.ended(self.clock(), m.ref, out.number, how, load)
             return
-        life = self.host.lives.get(m.ref)
+        life, how = self.host.lives.get(m.ref), messages.AFTER.get(m.c, Ending.BROKEN)
         if life is None or life.streamer != far.name:
-            return
-        if life.state is State.PLAYING:
-            how = messages.AFTER.get(m.c, Ending.BROKEN)
+            if key not in self.given_up:
+                self.released[key] = how, self.clock() + messages.OWED
+        elif life.state is State.PLAYING:
             self.host.ended(self.clock(), m.ref, life.number, how, load)
             line.send(messages.ack(m.ref))
         elif life.state is State.CLOSING:
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -20,7 +20,7 @@
 class Held:
     """A viewing as its viewer's side has it: its connection, and what it offers until it plays."""
 
-    __slots__ = ("wire", "offer", "reply", "answered", "mine")
+    __slots__ = ("wire", "offer", "reply", "answered", "mine")  # `reply`, once answered: until it has left
 
     def __init__(self, wire: Wire, offer: str):
         # The reply is kept apart: one that the host finds late must not be the offer of the next tune-in.
@@ -62,7 +62,7 @@
                 victim.close("shed")
 
     def pending(self) -> tuple[int, int, int]:
-        """How many set-ups wait for an answer, connections hold something unread, and viewings play."""
+        """How many set-ups wait for an answer, connections hold something unread or unsent, viewings play."""
         waiting = sum(not held.answered for held in self.held.values())
         return waiting, sum(not wire.quiet() for wire in self.wires), len(self.held) - waiting
 
@@ -82,6 +82,11 @@
             for ref in [ref for ref, entry in told.items() if entry[-1] <= now]:
                 del told[ref]
 
+    def look(self, ref: str) -> bool:
+        """Hear what lies unread of whoever asked for a viewing that is set up; whether that was all of it."""
+        held = self.held.get(ref)
+        return held is None or held.wire is None or held.wire.look()
+
     # What viewers say.
 
     def _heard(self, wire: Wire, line: bytes) -> None:
@@ -158,11 +163,12 @@
         self.wires.discard(wire)
         self.trusted.pop(wire, None)
         self.crowd.went(wire)
-        for ref in [ref for ref, held in self.held.items() if held.wire is wire]:
-            if self.held[ref].answered:
-                self.held[ref].wire = None  # a viewing that stands belongs to no connection
-            else:
-                self.held[ref].mine = True
+        for ref, held in [(ref, held) for ref, held in self.held.items() if held.wire is wire]:
+            if held.answered and not (held.reply and wire.unsent(held.reply)):
+                held.wire = None  # a viewing that stands belongs to no connection
+            elif ref in self.held:
+                # Nobody is left to be answered, or the answer never left whole.
+                held.mine = True
                 self.host.left(self.clock(), ref)
 
         for ref, (at, message, until) in list(self.unheard.items()):
@@ -183,21 +189,24 @@
 
     def answer(self, ref: str, answer: Answer) -> None:
         held = self.held[ref]
-        self.crowd.settled(held.wire)
+        wire = held.wire
+        self.crowd.settled(wire)
         if answer.verdict == "plays":
-            held.answered = True
-            held.wire.send(messages.up(ref, held.reply))
+            up = messages.up(ref, held.reply)
             held.offer = held.reply = ""
-            self.trusted.pop(held.wire, None)
-            if not held.wire.closed:
-                self.trusted[held.wire] = None
-                self._pay(held.wire)
-            return
-        del self.held[ref]
-        if answer.verdict == "blocked":
-            held.wire.send(messages.down(ref, messages.REFUSED, answer.come_back))
-        elif answer.verdict == "aborted":
-            held.wire.send(messages.down(ref, messages.FAILED))
+            # One that has gone hears nothing: its end, told in a moment, then ends the viewing too.
+            held.answered = wire.send(up)
+            if held.answered:
+                held.reply = up if wire.unsent(up) else ""
+                self.trusted.pop(wire, None)
+                self.trusted[wire] = None
+                self._pay(wire)
+        else:
+            del self.held[ref]
+            if answer.verdict == "blocked":
+                wire.send(messages.down(ref, messages.REFUSED, answer.come_back))
+            elif answer.verdict == "aborted":
+                wire.send(messages.down(ref, messages.FAILED))
 
     def moved(self, ref: str) -> None:
         """The host takes a viewing off its streamer; unless its viewer ended it, that one comes again."""
--- a/herongap/node/wire.py
+++ b/herongap/node/wire.py
@@ -2,6 +2,7 @@
 
 import os
 import socket as plain
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -11,48 +12,120 @@
 
 from herongap.platform.lines import Lines, TooLong
 
-BACKLOG = 1 << 18  # bytes that a peer may leave unread before it is given up
+BACKLOG = 1 << 18  # bytes that a peer may leave unread before it is given up, and that one look reads at most
 CHUNK = 16384
+# Seconds between two reads of what is only thrown away: a peer that is not understood must cost nothing.
+PAUSE = 0.01
 # Lines that hold these bytes are logged as they pass: the id of one viewing, or "ref" for all.
 TRACE = os.environ.get("HERONGAP_TRACE", "").encode()
 log = structlog.get_logger()
 
 
 class Wire:
-    """A connection that stands. `heard(wire, line)` is called for each line, `lost(wire)` once at its end.
+    """A connection that stands. `heard(wire, line)` is called for each line, `lost(wire)` once at its end,
+    `spoilt(wire, fault)` for a line that is too long to be one; without it the connection ends there.
 
-    `heard` may close the wire; the lines that came with it are then dropped.
+    `heard` may close the wire, or make it `deaf`; the lines that came with it are then dropped. A `finished`
+    one is only read to its end.
     """
 
-    def __init__(self, sock: socket.socket, peer: str, heard: Callable, lost: Callable):
+    def __init__(
+        self, sock: socket.socket, peer: str, heard: Callable, lost: Callable, spoilt: Callable | None = None
+    ):
         sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
         self.sock, self.peer, self._heard, self._lost = sock, peer, heard, lost
+        self._spoilt = spoilt or (lambda wire, fault: wire.close(str(fault)))
         self.lines, self.closed, self.cause = Lines(), False, ""
-        self._out, self._writer = bytearray(), None
+        self.deaf = self.finished = self._ended = False
+        # Messages that the system has not taken yet, `behind` bytes; of the first it has taken `_sent`.
+        self._unsent: deque[bytes] = deque()
+        self._sent, self.behind, self._writer = 0, 0, None
         self._reader = gevent.spawn(self._read)
 
+    # Writing.
+
     def send(self, data: bytes) -> bool:
         """Write, or keep for when the peer reads on; False if the connection has ended."""
-        if self.closed:
+        if self.closed or self.finished:
             return False
         if TRACE and TRACE in data:
             log.info("sent", peer=self.peer, line=data.decode())
-        if not self._out:
+        self._unsent.append(data)
+        self.behind += len(data)
+        if self._writer is None:
+            self._flush()
+            if self._unsent and not self.closed:
+                self._writer = gevent.spawn(self._write)
+        if self.behind > BACKLOG:
+            self.close("its peer reads nothing")
+        return not self.closed
+
+    def unsent(self, data: bytes) -> bool:
+        """Whether that message, the very object, has not left whole."""
+        return any(data is waiting for waiting in self._unsent)
+
+    def withdraw(self, data: bytes) -> bool:
+        """Take back a message of which nothing has left; False if it is too late for that."""
+        for i, waiting in enumerate(self._unsent):
+            if waiting is data and (i or not self._sent):
+                del self._unsent[i]
+                self.behind -= len(data)
+                return True
+        return False
+
+    def finish(self) -> None:
+        """Say that nothing more will be sent, once all has been, and read on to the end."""
+        self.finished = True
+        if not self._unsent:
+            with suppress(OSError):
+                self.sock._sock.shutdown(plain.SHUT_WR)
+
+    def _flush(self) -> None:
+        """Write what the system takes."""
+        while self._unsent and not self.closed:
+            first = self._unsent[0]
             try:
-                sent = self.sock._sock.send(data)
+                sent = self.sock._sock.send(memoryview(first)[self._sent :])
             except (BlockingIOError, InterruptedError):
-                sent = 0
+                return
             except OSError as fault:
                 self.close(f"not written: {fault}")
-                return False
-            data = data[sent:]
-        if data:
-            self._out += data
-            if len(self._out) > BACKLOG:
-                self.close("its peer reads nothing")
-                return False
-            if self._writer is None:
-                self._writer = gevent.spawn(self._write)
+                return
+            self.behind -= sent
+            self._sent += sent
+            if self._sent == len(first):
+                self._unsent.popleft()
+                self._sent = 0
+
+    def _write(self) -> None:
+        with suppress(OSError):
+            while self._unsent and not self.closed:
+                self.sock._wait(self.sock._write_event)
+                self._flush()
+        self._writer = None
+        if self.finished and not self.closed:
+            self.finish()
+
+    # Reading.
+
+    def look(self) -> bool:
+        """Hear what lies unread, as its reader would in a moment; whether that was all of it.
+
+        Bounded, or a peer that never stops would keep everybody else waiting. At its end `lost` is called.
+        """
+        for _ in range(BACKLOG // CHUNK):
+            if self.closed:
+                break
+            try:
+                data = self.sock._sock.recv(CHUNK, plain.MSG_DONTWAIT)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as fault:
+                data, self.cause = b"", self.cause or str(fault)
+            if not self._took(data):
+                self._end()
+        else:
+            return False
         return True
 
     def stands(self) -> bool:
@@ -67,57 +140,65 @@
             return False
 
     def quiet(self) -> bool:
-        """Whether nothing that its peer sent is still unread."""
+        """Whether nothing that its peer sent is still unread, and nothing for it still unsent."""
+        if self.closed:
+            return True
         try:
-            return self.closed or not self.sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT)
+            return not self._unsent and not self.sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT)
         except OSError:
-            return True
-
-    def finish(self) -> None:
-        """Say that nothing more will be sent, and read on to the end: what is on its way here is not lost."""
-        with suppress(OSError):
-            self.sock._sock.shutdown(plain.SHUT_WR)
+            return not self._unsent
 
     def close(self, cause: str = "") -> None:
+        """End it now, whatever is unsent. `lost` is called a moment later, never from within this call."""
         if not self.closed:
             self.closed, self.cause = True, cause
-            # Wakes the reader, which tells of the end: nobody is called back from within a call here.
             with suppress(OSError):
                 self.sock._sock.shutdown(plain.SHUT_RDWR)
-            self._reader.kill(block=False)
+            # Not left to the reader: one that is killed before it ever ran would tell nobody.
+            gevent.spawn(self._end)
 
     def _read(self) -> None:
         try:
             while not self.closed:
-                data = self.sock.recv(CHUNK)
-                if not data:
+                if not self._took(self.sock.recv(CHUNK)):
                     break
-                for line in self.lines.feed(data):
-                    if TRACE and TRACE in line:
-                        log.info("heard", peer=self.peer, line=line.decode("utf-8", "replace"))
-                    try:
-                        self._heard(self, line)
-                    except Exception:
-                        # One line that we cannot deal with must not cost what else this connection carries.
-                        log.exception("a fault of ours; the line is passed over", peer=self.peer)
-                    if self.closed:
-                        break
-        except (TooLong, OSError) as fault:
+                if self.deaf:
+                    gevent.sleep(PAUSE)
+        except OSError as fault:
             self.cause = self.cause or str(fault)
         finally:
-            self.closed = True
-            if TRACE:
-                log.info("closed", peer=self.peer, cause=self.cause)
-            if self._writer:
-                self._writer.kill(block=False)
-            with suppress(OSError):
-                self.sock.close()
-            self._lost(self)
+            self._end()
 
-    def _write(self) -> None:
+    def _took(self, data: bytes) -> bool:
+        """Hear the lines that these bytes end; False where there are none, at the peer's end."""
+        if self.deaf or not data:
+            return bool(data)
+        try:
+            for line in self.lines.feed(data):
+                if TRACE and TRACE in line:
+                    log.info("heard", peer=self.peer, line=line.decode("utf-8", "replace"))
+                try:
+                    self._heard(self, line)
+                except Exception:
+                    # One line that we cannot deal with must not cost what else this connection carries.
+                    log.exception("a fault of ours; the line is passed over", peer=self.peer)
+                if self.closed or self.deaf:
+                    break
+        except TooLong as fault:
+            self._spoilt(self, fault)
+        return True
+
+    def _end(self) -> None:
+        """Once, however it ended."""
+        self.closed = True
+        if self._ended:
+            return
+        self._ended = True
+        if TRACE:
+            log.info("closed", peer=self.peer, cause=self.cause)
+        for greenlet in (self._reader, self._writer):
+            if greenlet and greenlet is not gevent.getcurrent():
+                greenlet.kill(block=False)
         with suppress(OSError):
-            while self._out and not self.closed:
-                part = bytes(self._out[:65536])
-                self.sock.sendall(part)
-                del self._out[: len(part)]
-        self._writer = None
+            self.sock.close()
+        self._lost(self)
--- a/herongap/platform/lines.py
+++ b/herongap/platform/lines.py
@@ -1,5 +1,7 @@
 """Bytes of a connection, cut into lines, in bounded memory however they arrive."""
 
+from collections.abc import Iterator
+
 from herongap.errors import Unusable
 
 MOST = 16384  # bytes of the longest line, its line feed not counted
@@ -21,19 +23,17 @@
     def begun(self) -> bool:
         return bool(self._rest)
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """The lines that these bytes end, empty ones left out; raises TooLong, after which it is spent.
-
-        Lines ended before the one too long are lost with it: their sender is not to be trusted.
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The lines that these bytes end, empty ones left out; then raises TooLong where one is, after which
+        it is spent. Lines ended before that one were sent whole, and are owed what any line is.
         """
-        if b"\n" not in data:
-            self._rest += data
-            if len(self._rest) > MOST:
-                raise TooLong(f"over {MOST} bytes without a line feed")
-            return []
-        first, *lines, rest = data.split(b"\n")
-        lines.insert(0, self._rest + first)
-        if max(len(rest), max(map(len, lines))) > MOST:
-            raise TooLong(f"a line of over {MOST} bytes")
+        *lines, rest = (self._rest + data).split(b"\n") if b"\n" in data else (self._rest + data,)
         self._rest = rest
-        return [line for line in lines if line]
+        for line in lines:
+            if len(line) > MOST:
+                raise TooLong(f"a line of over {MOST} bytes")
+            if line:
+                yield line
+        if len(rest) > MOST:
+            self._rest = b""
+            raise TooLong(f"over {MOST} bytes without a line feed")
--- /dev/null
+++ b/tests/plain_peers.py
@@ -0,0 +1,112 @@
+"""Peers of the platform's tests that act at stated steps: plain sockets, whose calls let no greenlet run.
+
+Between two calls that wait (`until`, `gevent.sleep`) the controller under test does nothing, as a process
+that is late does. So what reached it meanwhile, and in which order, is the test's to say.
+"""
+
+import json
+import socket
+from contextlib import suppress
+
+from helpers import until
+
+
+class Plain:
+    """A connection of JSON lines whose reads are the test's own. `small`: its system holds little for it."""
+
+    def __init__(self, address=None, sock=None, small=False):
+        self.sock = sock or socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if small:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+        if address:
+            self.sock.connect(address)
+        self.sock.setblocking(False)
+        self.data, self.ended = b"", False
+
+    def say(self, **message):
+        self.raw(json.dumps({"f": {}, **message}).encode() + b"\n")
+
+    def raw(self, data: bytes):
+        self.sock.sendall(data)
+
+    def read(self) -> list[dict]:
+        """All whole messages so far; what has come is read, and nothing is waited for."""
+        with suppress(BlockingIOError):
+            try:
+                while not self.ended:
+                    data = self.sock.recv(65536)
+                    self.data, self.ended = self.data + data, not data
+            except ConnectionError:
+                self.ended = True
+        return [json.loads(line) for line in self.data.split(b"\n")[:-1] if line]
+
+    def of(self, t: str, ref: str | None = None) -> list[dict]:
+        return [m for m in self.read() if m["t"] == t and ref in (None, m["ref"])]
+
+    def gone(self) -> bool:
+        self.read()
+        return self.ended
+
+    def reset(self):
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+    def close(self):
+        self.sock.close()
+
+
+class Door:
+    """A streamer's listener that takes a connection when the test says so, and can be `full`: then the next
+    one comes up about 1 s after there is room again, as its machine asks once more.
+    """
+
+    def __init__(self, small=False):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if small:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(0)
+        self.address = self.sock.getsockname()
+        self.fillers, self.peers = [], []
+
+    def fill(self):
+        while True:
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.settimeout(0.1)
+            self.fillers.append(filler)
+            try:
+                filler.connect(self.address)
+            except OSError:
+                return
+
+    def empty(self):
+        """Make room, with whatever had come up of the fillers closed."""
+        for filler in self.fillers:
+            filler.close()
+        self.sock.setblocking(False)
+        with suppress(BlockingIOError):
+            while True:
+                self.sock.accept()[0].close()
+
+    def waits(self) -> bool:
+        """Whether a connection waits to be taken; it is."""
+        self.sock.setblocking(False)
+        with suppress(BlockingIOError):
+            self.peers.append(Plain(sock=self.sock.accept()[0]))
+            return True
+        return False
+
+    def take(self, seconds=4.0) -> Plain:
+        """The next connection that comes up. Nothing else runs meanwhile."""
+        self.sock.settimeout(seconds)
+        self.peers.append(Plain(sock=self.sock.accept()[0]))
+        return self.peers[-1]
+
+    def taken(self) -> Plain:
+        """The same, while everything runs on."""
+        until(self.waits)
+        return self.peers[-1]
+
+    def close(self):
+        for part in (self.sock, *self.fillers, *self.peers):
+            part.close()
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -37,6 +37,17 @@
     assert crowd.came(1.0, "d", lambda who: who != "b") == ["a"]
 
 
+def test_a_newcomer_is_kept_where_nobody_else_may_go_until_descriptors_end():
+    crowd = Crowd(2, 3)
+    for who in "ab":
+        crowd.came(0.0, who, anybody)
+        crowd.took(who)
+    assert crowd.came(1.0, "c", anybody) == []
+    assert crowd.came(1.0, "d", nobody) == ["d"] and len(crowd.known) == 3
+    crowd.settled("a")
+    assert crowd.came(1.0, "e", anybody) == ["a", "c"], "until it is as many as are kept again"
+
+
 def test_silence_ends_a_connection_that_never_spoke_and_no_other():
     crowd = Crowd(9)
     crowd.came(0.0, "mute", anybody)
@@ -64,11 +75,19 @@
 
 def test_two_idle_connections_to_a_streamer_are_kept_and_doubted_ones_are_not():
     busy, old, mid, new = line(0.0, outs=("a",)), line(0.0), line(1.0), line(2.0)
-    assert worn(1.0 + STALE, [busy, new, old, mid], room=True) == [old]
-    assert worn(2.5, [busy, new, old, mid], room=True) == []
-    assert worn(2.5, [busy, new, old, mid], room=False) == [old]
+    stale = STALE * 30.0
+    assert worn(1.0 + stale, [busy, new, old, mid], True, 30.0) == [old]
+    assert worn(2.5, [busy, new, old, mid], True, 30.0) == []
+    assert worn(2.5, [busy, new, old, mid], False, 30.0) == [old]
     mid.doubted = 3.0
-    assert worn(3.1 + DOUBT, [busy, new, mid], room=True) == [mid]
+    assert worn(3.1 + DOUBT, [busy, new, mid], True, 30.0) == [mid]
+
+
+def test_no_connection_is_kept_that_its_streamer_may_close_under_a_set_up():
+    busy, old, new = line(0.0, outs=("a",)), line(0.0), line(1.0)
+    assert worn(29.9, [busy, old, new], True, 30.0) == []
+    assert worn(30.5, [busy, old, new], True, 30.0) == [old]
+    assert worn(2.5, [busy, old, new], True, 2.0) == [old], "as the settings say, however short"
 
 
 def test_a_late_process_turns_away_until_it_has_been_in_time_for_a_while():
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,214 @@
+"""No attempt begins for a client that has gone, whatever its request waits for meanwhile.
+
+In each test the close, or the cancellation, has reached the controller's machine and lies unread at the
+moment at which an attempt could leave: the process was late. The limit is none at all, of 0.1 s.
+"""
+
+import json
+import socket
+import time
+
+import gevent
+import pytest
+from helpers import closing
+from node_world import OFFER, SETTINGS, World
+from plain_peers import Door, Plain
+
+SLOW = dict(
+    Grades=[{**grade, "Aim": 20000.0, "Deadline": 40000.0} for grade in SETTINGS["Grades"]],
+    Allowed=SETTINGS["Allowed"] | {"ConnectTimeout": 5000.0},
+)
+GOES = ["closes", "resets", "cancels"]
+
+
+@pytest.fixture
+def world(tmp_path):
+    yield from closing(World, tmp_path)
+
+
+def goes(client, ref, how):
+    """The client gives up one set-up, as `how` says."""
+    if how == "cancels":
+        client.say(t="down", ref=ref, c=16)
+    else:
+        client.close() if how == "closes" else client.reset()
+
+
+def news(w):
+    return [m["ref"] for s in w.streamers.values() for m in s.news]
+
+
+def connected(w):
+    """Connections stand everywhere, so that an attempt could leave at once."""
+    for far in w.node.port.fars.values():
+        w.node.port._need(far)
+    w.until(lambda: all(far.lines for far in w.node.port.fars.values()))
+
+
+def busy(held):
+    """A streamer that keeps what it is asked until the test answers."""
+    return lambda peer, m: held.append((peer, m))
+
+
+def refuse(peer, ref):
+    """A streamer's word that it is full, written at once: no greenlet runs before."""
+    peer.sock._sock.sendall(json.dumps({"t": "down", "ref": ref, "f": {}, "c": 34}).encode() + b"\n")
+
+
+@pytest.mark.parametrize("first", [True, False])
+@pytest.mark.parametrize("how", GOES)
+def test_no_further_attempt_for_a_client_whose_leaving_lies_unread(world, how, first):
+    w = world(**SLOW)
+    held = []
+    for s in w.streamers.values():
+        s.does = busy(held)
+    connected(w)
+    client = Plain(w.address)
+    ref = w.ask(client, left="30000")
+    w.until(lambda: held)
+    if first:  # whichever of the two a loop of events comes to first
+        goes(client, ref, how)
+    refuse(held[0][0], ref)
+    if not first:
+        goes(client, ref, how)
+    w.until(lambda: ref not in w.node.host.lives)
+    gevent.sleep(0.3)
+    assert news(w) == [ref]
+
+
+def test_the_other_sessions_of_a_connection_that_is_looked_at_are_served(world):
+    w = world(**SLOW)
+    held = []
+    for s in w.streamers.values():
+        s.does = busy(held)
+    client = Plain(w.address)
+    ref, other = w.ask(client, left="30000"), w.ask(client, left="30000")
+    w.until(lambda: len(held) == 2)
+    for peer, m in held:
+        refuse(peer, m["ref"])
+    del held[:]
+    # On the same connection, all unread as the two are to go on: a new one, the cancellation, half a line.
+    third = w.ask(client, left="30000")
+    client.say(t="down", ref=ref, c=16)
+    fourth = json.dumps({"t": "new", "ref": "00000000000000ff", "d": OFFER, "f": {
+        "class": "standard", "left": "30000", "key": "7f3a9c21e0b4d655",
+        "extras": "home:0;copies:3;top:2;viewer:00000000b4d65521"}}).encode() + b"\n"  # fmt: skip
+    client.raw(fourth[:100])
+    w.until(lambda: len(held) == 2)
+    assert {m["ref"] for _, m in held} == {other, third}
+    client.raw(fourth[100:])
+    w.until(lambda: len(held) == 3)
+    for peer, m in held:
+        peer.say(t="up", ref=m["ref"], d="answer to " + m["ref"])
+    w.until(lambda: len(client.of("up")) == 3)
+    assert {m["ref"] for m in client.of("up")} == {other, third, "00000000000000ff"}
+    assert not client.of("down") and not client.of("up", ref)
+
+
+@pytest.mark.parametrize("first", [True, False])
+@pytest.mark.parametrize("how", GOES)
+def test_no_attempt_on_a_connection_that_comes_up_after_its_client_has_gone(world, how, first):
+    w = world(streamers=1, **SLOW)
+    door = Door()
+    (name,) = w.streamers
+    w.node.port.fars[name].address = door.address
+    door.fill()
+    client = Plain(w.address)
+    ref = w.ask(client, left="30000")
+    w.until(lambda: w.node.port.fars[name].connecting)
+    door.empty()
+    if first:
+        goes(client, ref, how)
+    peer = door.take()  # 1 s or so; the controller is late all that time, and finds both at once
+    if not first:
+        goes(client, ref, how)
+    w.until(lambda: ref not in w.node.host.lives)
+    gevent.sleep(0.3)
+    assert not peer.of("new")
+    door.close()
+
+
+@pytest.mark.parametrize("how", GOES)
+def test_no_attempt_at_a_cold_turn_after_its_client_has_gone(world, how):
+    few = SETTINGS["FamilyInfo"] | {"KindSlots": [100]}
+    w = world(streamers=1, FleetSize=8, FamilyInfo=few, **SLOW)
+    (name,) = w.streamers
+    # It has just started, and turns at it come seldom.
+    w.started[name] = int(time.time() * 1000)
+    w.resolver.serial += 1
+    w.until(lambda: w.node.host.module.streamers[name].line.started)
+    connected(w)
+    turns, st = w.node.host.module.turns, w.node.host.module.streamers[name]
+    begins = lambda: turns.next_turn(w.node.clock(), st) * turns.slot - w.node.clock()  # noqa: E731
+    w.until(lambda: begins() > 2 * turns.slot)
+    client = Plain(w.address)
+    ref = w.ask(client, left="30000")
+    w.until(lambda: ref in w.node.host.lives)
+    assert begins() > 0 and not news(w), "it waits for its turn"
+    goes(client, ref, how)
+    # Late until within its turn.
+    time.sleep(begins() + 0.5 * turns.slot)
+    w.until(lambda: ref not in w.node.host.lives)
+    gevent.sleep(0.3)
+    assert not news(w)
+
+
+@pytest.mark.parametrize("how", GOES)
+def test_a_set_up_that_waits_behind_a_full_buffer_never_arrives_whole(world, how):
+    w = world(streamers=1, **SLOW)
+    door = Door(small=True)
+    (name,) = w.streamers
+    far = w.node.port.fars[name]
+    far.address = door.address
+    client = Plain(w.address)
+    first = w.ask(client, left="30000")
+    peer = door.taken()
+    w.until(lambda: peer.of("new", first))
+    peer.say(t="up", ref=first, d="plays")
+    w.until(lambda: client.of("up", first))
+    (line,) = far.lines
+    line.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+    ref = w.ask(client, left="30000", d="x" * 15800)
+    w.until(lambda: line.behind)
+    goes(client, ref, how)
+    w.until(lambda: ref not in w.node.host.lives)
+    gevent.sleep(0.1)
+    # Only now its streamer reads on.
+    w.until(lambda: peer.gone() or not line.behind)
+    gevent.sleep(0.1)
+    assert not peer.of("new", ref)
+    door.close()
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_an_answer_for_a_client_that_has_gone_is_let_go_at_its_streamer(world, first):
+    w = world(streamers=1, **SLOW)
+    held = []
+    (streamer,) = w.streamers.values()
+    streamer.does = busy(held)
+    client = Plain(w.address)
+    ref = w.ask(client, left="30000")
+    w.until(lambda: held)
+    if first:
+        client.close()
+    held[0][0].sock._sock.sendall(json.dumps({"t": "up", "ref": ref, "f": {}, "d": "d"}).encode() + b"\n")
+    client.close()
+    w.until(lambda: streamer.heard("down", ref))
+    assert not w.node.host.lives
+
+
+def test_an_answer_that_its_client_never_got_whole_is_no_viewing(world):
+    w = world(streamers=1, **SLOW)
+    (streamer,) = w.streamers.values()
+    held = []
+    streamer.does = busy(held)
+    client = Plain(w.address, small=True)
+    ref = w.ask(client, left="30000")
+    w.until(lambda: held)
+    (wire,) = w.node.viewers.wires
+    wire.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+    held[0][0].say(t="up", ref=ref, d="x" * 15800)
+    w.until(lambda: wire.behind)
+    client.close()
+    w.until(lambda: streamer.heard("down", ref))
+    w.until(lambda: not w.node.host.lives and not w.node.viewers.held)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,16 +37,24 @@
         fed += size
         if fed > MOST:
             with pytest.raises(TooLong):
-                lines.feed(b"x" * size)
+                list(lines.feed(b"x" * size))
             return
-        assert lines.feed(b"x" * size) == []
-    assert lines.feed(b"\n") == [b"x" * fed]
+        assert list(lines.feed(b"x" * size)) == []
+    assert list(lines.feed(b"\n")) == [b"x" * fed]
 
 
 def test_a_line_may_be_as_long_as_a_message_and_not_a_byte_more():
-    assert Lines().feed(b"x" * MOST + b"\n") == [b"x" * MOST]
+    assert list(Lines().feed(b"x" * MOST + b"\n")) == [b"x" * MOST]
     with pytest.raises(TooLong):
-        Lines().feed(b"x" * (MOST + 1) + b"\n")
+        list(Lines().feed(b"x" * (MOST + 1) + b"\n"))
+
+
+def test_lines_that_came_whole_before_one_too_long_are_heard():
+    for rest in (b"x" * (MOST + 1), b"x" * (MOST + 1) + b"\nd\n"):
+        got = []
+        with pytest.raises(TooLong):
+            got.extend(Lines().feed(b"a\nb\n" + rest))
+        assert got == [b"a", b"b"]
 
 
 @given(st.binary(max_size=200))
