A client's unreadable line ends its connection after what is owed there, and what came before it counts

Seen (tests/test_ends.py): two set-ups taken on a connection, then noise on it: both lost their answers, as did one whose answer lay in our own buffer, and a set-up that came whole in one piece with a line that never ends was never read. With the text before, all of these fail.

At fault: Viewers._heard and Wire._read closed at once on Unreadable and TooLong, dropping the out buffer and what waited; Lines.feed dropped lines that had ended before the one too long.

Mend: such a connection is `deaf`: nothing more is heard on it (but its end is), each set-up taken on it is answered, what is unsent goes out, then it is half-closed; its peer has a second to close first.

--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -6,7 +6,7 @@
 import gevent
 import structlog
 
-from herongap.crowd import Crowd
+from herongap.crowd import DOUBT, Crowd
 from herongap.host import Answer, Host
 from herongap.interface import Ending
 from herongap.node.wire import Wire
@@ -34,6 +34,9 @@
         self.launch, self.host, self.crowd, self.clock = launch, host, crowd, clock
         self.held: dict[str, Held] = {}
         self.owed: dict[str, tuple[bytes, float]] = {}
+        self.ended: dict[str, float] = {}  # releases of what is not held: its set-up with `at` may come later
+        # Connections that are let go, and until when their peers may close them first.
+        self.leaving: dict[Wire, float] = {}
         # Releases on their way: what a connection took along when it broke is told again on another.
         self.unheard: dict[str, tuple[Wire, bytes, float]] = {}
         self.wires: set[Wire] = set()
@@ -54,12 +57,18 @@
                 gevent.sleep(0.1)
                 continue
             try:
-                wire = Wire(sock, peer[0], self._heard, self._lost)
+                self._take(sock, peer)
             except OSError:
                 continue  # reset before it was looked at
-            self.wires.add(wire)
-            for victim in self.crowd.came(self.clock(), wire, Wire.quiet):
+
+    def _take(self, sock, peer) -> None:
+        wire = Wire(sock, peer[0], self._heard, self._lost, self._refuse)
+        self.wires.add(wire)
+        if victims := self.crowd.came(self.clock(), wire, Wire.quiet):
+            for victim in victims:
                 victim.close("shed")
+            # Their descriptors are free only when they have ended: a crowd at the door must not outrun that.
+            gevent.sleep(0)
 
     def pending(self) -> tuple[int, int, int]:
         """How many set-ups wait for an answer, connections hold something unread or unsent, viewings play."""
@@ -78,6 +87,11 @@
         now = self.clock()
         for wire in self.crowd.overdue(now, Wire.quiet, lambda wire: wire.lines.begun):
             wire.close("silent")
+        for wire, until in list(self.leaving.items()):
+            # With all that was owed sent, its peer has a moment to close first, and read what is on its way.
+            self.leaving[wire] = until = until if wire.behind else min(until, now + DOUBT)
+            if until <= now:
+                wire.close("not understood")
         for told in (self.owed, self.unheard):
             for ref in [ref for ref, entry in told.items() if entry[-1] <= now]:
                 del told[ref]
@@ -104,8 +118,19 @@
             elif m.t not in ("wait", "tell"):
                 raise Unreadable(f"unknown message {m.t!r:.20}")
         except Unreadable as fault:
-            log.info("viewer not understood", peer=wire.peer, cause=str(fault)[:120])
-            wire.close(str(fault))
+            self._refuse(wire, fault)
+
+    def _refuse(self, wire: Wire, fault: Exception) -> None:
+        """Nothing that follows there can be made out. What was taken on it has its answer first."""
+        log.info("viewer not understood", peer=wire.peer, cause=str(fault)[:120])
+        wire.deaf, wire.cause = True, str(fault)
+        self._let_go(wire)
+
+    def _let_go(self, wire: Wire) -> None:
+        if wire.finished or any(held.wire is wire and not held.answered for held in self.held.values()):
+            return
+        wire.finish()
+        self.leaving[wire] = self.clock() + messages.OWED
 
     def _sound(self, wire: Wire) -> None:
         self.crowd.spoke(self.clock(), wire)
@@ -161,6 +186,7 @@
 
     def _lost(self, wire: Wire) -> None:
         self.wires.discard(wire)
+        self.leaving.pop(wire, None)
         self.trusted.pop(wire, None)
         self.crowd.went(wire)
         for ref, held in [(ref, held) for ref, held in self.held.items() if held.wire is wire]:
@@ -207,6 +233,8 @@
                 wire.send(messages.down(ref, messages.REFUSED, answer.come_back))
             elif answer.verdict == "aborted":
                 wire.send(messages.down(ref, messages.FAILED))
+        if wire.deaf:
+            self._let_go(wire)
 
     def moved(self, ref: str) -> None:
         """The host takes a viewing off its streamer; unless its viewer ended it, that one comes again."""
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,106 @@
+"""The paths that end something, on real connections: who is still owed what at that instant, and gets it.
+
+Each test makes the bad order happen: what crosses an end has reached the controller's machine and lies
+unread, or waits in its own buffer, when the end comes.
+"""
+
+import gc
+import json
+import os
+import resource
+import socket
+
+import gevent
+import pytest
+from helpers import closing
+from node_world import OFFER, SETTINGS, World
+from plain_peers import Door, Plain
+
+from herongap.interface import Standing
+from herongap.node.wire import Wire
+from herongap.platform.lines import MOST
+
+SLOW = dict(
+    Grades=[{**grade, "Aim": 20000.0, "Deadline": 40000.0} for grade in SETTINGS["Grades"]],
+    Allowed=SETTINGS["Allowed"] | {"ConnectTimeout": 5000.0},
+)
+NOISE = {"no message": b"\x00\xff noise\n", "no type": b'{"t":"bogus"}\n', "never ends": b"x" * (MOST + 1)}
+
+
+@pytest.fixture
+def world(tmp_path):
+    yield from closing(World, tmp_path)
+
+
+def busy(held):
+    """A streamer that keeps what it is asked until the test answers."""
+    return lambda peer, m: held.append((peer, m))
+
+
+def small_buffers(w):
+    """What the controller's machine holds for its viewers' connections is next to nothing."""
+    for wire in w.node.viewers.wires:
+        wire.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+
+
+def handed(w, peer, ref, name):
+    w.ask(peer, ref, left="9007199254740991", d="",
+          extras=f"home:0;copies:3;top:2;viewer:00000000b4d65521;at:{name}")  # fmt: skip
+
+
+def heard(w, peer, ref="b0"):
+    """Wait until the controller has read all that this peer sent."""
+    peer.say(t="hb", ref=ref, c=0)
+    w.until(lambda: peer.of("hb_ok", ref))
+
+
+# A client that cannot be understood.
+
+
+@pytest.mark.parametrize("noise", NOISE)
+def test_what_was_taken_on_a_connection_is_answered_before_its_noise_ends_it(world, noise):
+    w = world(**SLOW)
+    held = []
+    for s in w.streamers.values():
+        s.does = busy(held)
+    client, other = Plain(w.address), Plain(w.address)
+    first = w.ask(client)
+    w.until(lambda: len(held) == 1)
+    second = json.dumps({"t": "new", "ref": "00000000000000aa", "d": OFFER, "f": {
+        "class": "standard", "left": "30000", "key": "7f3a9c21e0b4d655",
+        "extras": "home:0;copies:3;top:2;viewer:00000000b4d65521"}}).encode() + b"\n"  # fmt: skip
+    client.raw(second + NOISE[noise])  # in one piece: the set-up came whole, and before it
+    w.until(lambda: len(held) == 2)
+    gevent.sleep(0.1)
+    assert not client.gone()
+    for peer, m in held:
+        peer.say(t="up", ref=m["ref"], d="answer to " + m["ref"])
+    w.until(client.gone, 0.5)
+    assert {m["ref"] for m in client.of("up")} == {first, "00000000000000aa"}
+    last = w.ask(other)
+    w.until(lambda: len(held) == 3)
+    held[2][0].say(t="up", ref=last, d="d")
+    w.until(lambda: other.of("up", last))
+
+
+def test_an_answer_still_in_our_own_buffer_goes_out_before_noise_ends_its_connection(world):
+    w = world(streamers=1, **SLOW)
+    (streamer,) = w.streamers.values()
+    streamer.does = lambda peer, m: peer.say(t="up", ref=m["ref"], d="x" * 9000)
+    client = Plain(w.address, small=True)
+    heard(w, client)
+    small_buffers(w)
+    ref = w.ask(client)
+    w.until(lambda: any(wire.behind for wire in w.node.viewers.wires))
+    client.raw(b"noise\n")
+    gevent.sleep(0.1)
+    w.until(client.gone, 6.0)  # reads on only now
+    assert [len(m["d"]) for m in client.of("up", ref)] == [9000]
+
+
+def test_one_that_is_not_understood_and_does_not_go_is_closed(world):
+    w = world()
+    client = Plain(w.address)
+    client.raw(b"noise\n")
+    w.until(client.gone, 0.5)
+    w.until(lambda: not w.node.viewers.wires and not w.node.viewers.leaving, 2.0)
