A process ends when nothing it owes is unsent, unread or unaccepted

Seen (tests/test_ends.py): an answer in a connection's own buffer did not keep the process from ending; of twenty connections that the machine had accepted when the listener closed all were reset, each with a set-up written; a set-up that lay unread at the end was reset with it. All fail with the text before.

--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -87,6 +87,7 @@
         self.viewers.stop()
         while not parting.over(self.clock(), *self.viewers.pending()):
             gevent.sleep(0.02)
+        self.viewers.leave()
         log.info("stopped", left=len(self.host.lives), **self.host.counts)
         self.stopped.set()
 
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -76,11 +76,22 @@
         return waiting, sum(not wire.quiet() for wire in self.wires), len(self.held) - waiting
 
     def stop(self) -> None:
-        """Take no more connections; set-ups on those that are open are refused at once."""
+        """Take no more connections than the system has taken for us; set-ups are refused at once from now."""
         self.parting = True
-        if self.listener:
-            with suppress(OSError):
-                self.listener.close()
+        if not self.listener or self.listener.closed:
+            return
+        self.listener.settimeout(0.0)
+        with suppress(OSError):
+            while True:
+                self._take(*self.listener.accept())
+        with suppress(OSError):
+            self.listener.close()
+
+    def leave(self) -> None:
+        """Hear what has come to the last moment, and end every connection: nothing is owed on any by now."""
+        for wire in list(self.wires):
+            wire.look()
+            wire.close("stopped")
 
     def tend(self) -> None:
         """Once in a short while: close what says nothing, drop what can no longer be told."""
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -104,3 +104,48 @@
     client.raw(b"noise\n")
     w.until(client.gone, 0.5)
     w.until(lambda: not w.node.viewers.wires and not w.node.viewers.leaving, 2.0)
+
+
+# The end of the process.
+
+
+def test_it_does_not_end_with_an_answer_in_its_own_buffer(world):
+    w = world(streamers=1, **SLOW)
+    (streamer,) = w.streamers.values()
+    streamer.does = lambda peer, m: peer.say(t="up", ref=m["ref"], d="x" * 9000)
+    client = Plain(w.address, small=True)
+    heard(w, client)
+    small_buffers(w)
+    ref = w.ask(client)
+    w.until(lambda: any(wire.behind for wire in w.node.viewers.wires))
+    streamer.peers[0].say(t="down", ref=ref, c=16)
+    w.until(lambda: not w.node.host.lives)
+    gevent.spawn(w.node.stop)
+    gevent.sleep(1.2)
+    assert not w.node.stopped.is_set(), "nothing plays and nobody waits, but an answer has not left"
+    w.until(lambda: client.of("down", ref))
+    assert [len(m["d"]) for m in client.of("up", ref)] == [9000]
+    w.until(w.node.stopped.is_set, 0.5)
+
+
+def test_what_the_system_has_accepted_is_answered_when_the_listener_closes(world):
+    w = world()
+    gevent.sleep(0.05)
+    clients = [Plain(w.address) for _ in range(20)]  # accepted by the machine; the program has not come to it
+    refs = [w.ask(client) for client in clients]
+    w.node.viewers.stop()
+    for client, ref in zip(clients, refs, strict=True):
+        w.until(lambda: client.of("down", ref) or client.of("up", ref))  # noqa: B023
+    with pytest.raises(ConnectionRefusedError):
+        Plain(w.address)
+
+
+def test_a_set_up_that_lies_unread_when_the_process_ends_is_refused_not_reset(world):
+    w = world()
+    client = Plain(w.address)
+    heard(w, client)
+    w.node.viewers.stop()
+    ref = w.ask(client)  # unread
+    w.node.viewers.leave()
+    w.until(client.gone)
+    assert [m["c"] for m in client.of("down", ref)] == [42]
