What crosses the handing over of a viewing that plays is believed, whichever came first

Seen (tests/test_ends.py, a process that has just started): a viewer ends its viewing on one connection while the set-up with `at` comes on another, and the end is heard first: the viewing was adopted and held for good, its streamer never told. The streamer's release came on the first connection that opened, before the set-up with `at`: held for good, its viewer never told. The same set-up again on a new connection, with the close of the old one unread: answered as failed.

At fault: Viewers._down and Streamers._ended passed over what they do not hold; Viewers._new looked at the ids held, not at whether their connections still stood.

--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -106,6 +106,7 @@
         for told in (self.owed, self.unheard):
             for ref in [ref for ref, entry in told.items() if entry[-1] <= now]:
                 del told[ref]
+        self.ended = {ref: until for ref, until in self.ended.items() if until > now}
 
     def look(self, ref: str) -> bool:
         """Hear what lies unread of whoever asked for a viewing that is set up; whether that was all of it."""
@@ -155,6 +156,10 @@
             if at is not None:
                 self._handed(wire, m, ask, at)
                 return
+            if held is not None and not held.answered and held.wire is not wire:
+                # The same again after its connection has gone, which may lie unread.
+                held.wire.look()
+                held = self.held.get(m.ref)
             if held is not None:
                 if held.wire is wire:
                     raise Unreadable("an id that is open already")
@@ -184,10 +189,17 @@
         floor = next(p.floor for p in self.launch.charter.packages if p.name == ask.package)
         if not self.host.adopted(self.clock(), ask, 0, at, floor):
             self.over(m.ref, Ending.BROKEN)
+        elif self.ended.pop(m.ref, None):
+            # Its viewer has ended it, on another connection: that came first.
+            held.mine = True
+            self.host.left(self.clock(), m.ref)
+        elif how := self.host.port.ended(m.ref, at):
+            self.host.ended(self.clock(), m.ref, 0, how)
 
     def _down(self, wire: Wire, m: Message) -> None:
         self._sound(wire)
         if (held := self.held.get(m.ref)) is None:
+            self.ended[m.ref[:64]] = self.clock() + messages.OWED
             return
         if not held.answered and held.wire is not wire:
             return  # only whoever asked may take it back
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -149,3 +149,88 @@
     w.node.viewers.leave()
     w.until(client.gone)
     assert [m["c"] for m in client.of("down", ref)] == [42]
+
+
+# What crosses the set-up of a viewing that plays already.
+
+
+def test_a_viewer_that_ends_a_viewing_before_it_is_handed_over_is_believed(world):
+    w = world(streamers=1)
+    ((name, streamer),) = w.streamers.items()
+    one, two = Plain(w.address), Plain(w.address)
+    ref = "0123456789abcdef"
+    one.say(t="down", ref=ref, c=16)
+    heard(w, one)
+    handed(w, two, ref, name)
+    w.until(lambda: streamer.heard("down", ref))
+    w.until(lambda: not w.node.host.lives and not w.node.viewers.held)
+    heard(w, two)
+    assert not two.of("down") and not two.of("shift"), "it knows"
+
+
+def test_a_viewing_that_ended_before_it_was_handed_over_is_released(world):
+    w = world(streamers=1)
+    ((name, streamer),) = w.streamers.items()
+    client = Plain(w.address)
+    first, ref = w.ask(client), "0123456789abcdef"
+    w.until(lambda: client.of("up", first))
+    # To a process that has just started: its streamer tells on the first connection that opens.
+    streamer.peers[0].say(t="down", ref=ref, c=41)
+    streamer.peers[0].say(t="down", ref=first, c=16)
+    w.until(lambda: client.of("down", first))
+    handed(w, client, ref, name)
+    w.until(lambda: client.of("down", ref), 1.0)
+    assert not w.node.host.lives and [m["c"] for m in client.of("down", ref)] == [41]
+
+
+def test_the_same_set_up_again_after_its_connection_went_unread_is_served(world):
+    w = world(streamers=1, **SLOW)
+    (streamer,) = w.streamers.values()
+    held = []
+    streamer.does = busy(held)
+    old, new = Plain(w.address), Plain(w.address)
+    heard(w, new)
+    ref = w.ask(old)
+    w.until(lambda: len(held) == 1)
+    old.close()
+    w.ask(new, ref)  # the newest event comes first
+    w.until(lambda: new.read()[1:] or len(held) > 1)
+    for peer, m in held[1:]:
+        peer.say(t="up", ref=m["ref"], d="second")
+    w.until(lambda: new.of("up", ref) or new.of("down", ref))
+    assert [m["d"] for m in new.of("up", ref)] == ["second"]
+
+
+# Releases towards streamers.
+
+
+def test_what_may_play_to_nobody_is_released_though_its_streamer_cannot_be_reached_at_once(world):
+    w = world(streamers=2)
+    door = Door()
+    for far in w.node.port.fars.values():
+        far.address = door.address
+    client = Plain(w.address)
+    ref = w.ask(client)
+    peer = door.taken()
+    w.until(lambda: peer.of("new", ref))
+    door.fill()
+    peer.reset()
+    w.until(lambda: any(far.owed for far in w.node.port.fars.values()))
+    w.until(lambda: client.of("down", ref))  # the other cannot be reached either: 250 ms, as the settings say
+    gevent.sleep(0.5)
+    door.empty()
+    again = door.taken()
+    w.until(lambda: again.of("down", ref))
+    door.close()
+
+
+@pytest.mark.parametrize("more", [b"", b'{"t":"up","ref":"0000000000000001","f":{},"d":"other"}\n'])
+def test_a_spoilt_line_behind_good_ones_costs_only_what_came_after(world, more):
+    w = world(streamers=1)
+    (streamer,) = w.streamers.values()
+    good = b'{"t":"up","ref":"0000000000000001","f":{},"d":"d"}\n'
+    streamer.does = lambda peer, m: peer.raw(good + more + b"x" * (MOST + 1))
+    client = Plain(w.address)
+    ref = w.ask(client)
+    w.until(lambda: client.of("up", ref))
+    assert ref in w.node.host.lives and not client.of("down", ref)
