Descriptors: the list has its own for good, shed connections give theirs back, dials wait for one another

A newcomer was closed where nobody else may go, though its set-up could be on its way.

Mend: one socket for all questions, opened anew only when a reload moves the address; the door waits a round after it has shed some; half of the descriptors for viewers and a third for streamers stay, each may pass its part by a twentieth of all where nothing else helps (a newcomer among waiting ones; dials), and a set-up waits for a connection that is coming up for another. What remains, a fifteenth, is for listener, resolver, loop and logs.

A dial that fails for our own shortage says nothing of its streamer, and is told as never sent.

--- a/herongap/node/far.py
+++ b/herongap/node/far.py
@@ -1,14 +1,17 @@
 """One streamer as its sockets show it: its connections, the set-ups on them, what it is still to be told."""
 
 from collections.abc import Callable
+from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
 
 from gevent import socket
+from gevent.event import Event
 
 from herongap.host.pulse import TESTED, Pulse
-from herongap.interface import Asked
+from herongap.interface import Asked, Ending, Load
 from herongap.node.wire import Wire
 
 Address = tuple[str, int]
+OURS = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # what keeps a connection from coming up here, not at its streamer
 
 
 def dial(address: Address, time_out: float) -> socket.socket:
@@ -25,6 +28,11 @@
     return sock
 
 
+def unreached(fault: OSError) -> tuple[Ending, Load | None]:
+    """How a tune-in ends whose connection did not come up: of our own shortage its streamer knows nothing."""
+    return (Ending.FULL, Load()) if fault.errno in OURS else (Ending.UNREACHED, None)
+
+
 class Out:
     """A tune-in that is out: on its line, as the message `sent`, or waiting for one."""
 
@@ -53,9 +61,14 @@
         self.name, self.address, self.pulse = name, address, Pulse(now, TESTED)
         self.lines: set[Line] = set()
         self.owed: list[tuple[bytes, float]] = []  # messages for the next that opens, and until when
-        self.connecting = 0
+        self.connecting, self.settled = 0, Event()  # set whenever one of those that come up did, or did not
         self.told_silent = self.gone = False
 
+    def settle(self, seconds: float) -> bool:
+        """Wait until one of those that are coming up did, or did not; False where none did in that time."""
+        self.settled.clear()
+        return self.settled.wait(max(0.0, seconds))
+
     def pay(self, line: Line, now: float) -> None:
         """Tell on a connection that has just come up what is owed."""
         owed, self.owed = self.owed, []
--- a/herongap/node/resolver.py
+++ b/herongap/node/resolver.py
@@ -22,6 +22,8 @@
         self.address, self.racks, self.serial, self.told = address, racks, serial, told
         self.seed, self.asked, self.bad = seed, 0, 0
         self._last = b""
+        self._sock: socket.socket | None = None
+        self._reached: Address | None = None
         self.nudge = gevent.event.Event()
 
     def run(self) -> None:
@@ -47,20 +49,30 @@
         self.asked += 1
         # Ids that cannot be foretold, so that nobody else's packet passes for the answer.
         number = crc32(b"%d:%d" % (self.seed, self.asked)) & 0xFFFF
-        address = self.address
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            # Connected: the system drops what comes from any other address.
-            sock.connect(address)
-            sock.send(query(number))
-            with gevent.Timeout(PATIENCE, False), suppress(ConnectionError):
-                while True:
-                    data = sock.recv(65535)
-                    if self._take(data, number):
-                        return True
+        sock = self._reach(self.address)
+        sock.send(query(number))
+        with gevent.Timeout(PATIENCE, False), suppress(ConnectionError):
+            while True:
+                data = sock.recv(65535)
+                if data[:2] == number.to_bytes(2, "big") and self._take(data, number):
+                    return True
         return False
 
+    def _reach(self, address: Address) -> socket.socket:
+        """The socket, connected: the system drops what comes from any other address.
+
+        One for all questions: with no descriptor left, one that had to be opened for each would fall silent.
+        """
+        if self._reached != address:
+            if self._sock:
+                self._sock.close()
+            self._reached, self._sock = None, socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self._sock.connect(address)
+            self._reached = address
+        return self._sock
+
     def _take(self, data: bytes, number: int) -> bool:
-        if data[:2] == number.to_bytes(2, "big") and data[2:] == self._last:
+        if data[2:] == self._last:
             return True
         try:
             roster = answer(data, number, self.racks)
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -48,7 +48,8 @@
         now = self.clock()
         self.host = Host(now, launch.seed, launch.charter, self.port)
         self.port.host = self.host
-        self.viewers = self.port.viewers = Viewers(launch, self.host, Crowd(launch.sockets // 2), self.clock)
+        crowd = Crowd(launch.sockets // 2, launch.sockets // 2 + launch.sockets // 20)
+        self.viewers = self.port.viewers = Viewers(launch, self.host, crowd, self.clock)
         self.resolver = Resolver(launch.resolver, launch.seed, launch.racks, launch.known.serial, self._told)
         self.stopped, self.stopping = Event(), False
 
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -5,8 +5,9 @@
 
 from collections import Counter
 from collections.abc import Callable
-from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
+from errno import EMFILE
 from itertools import count
+from math import inf
 
 import gevent
 import structlog
@@ -16,13 +17,12 @@
 from herongap.host import Answer, Host, State
 from herongap.host.pulse import Word
 from herongap.interface import Asked, Ending, Load
-from herongap.node.far import Address, Far, Line, Out, dial
+from herongap.node.far import Address, Far, Line, Out, dial, unreached
 from herongap.platform import messages
 from herongap.platform.launch import Launch
 from herongap.platform.messages import Message, Unfit, Unreadable
 
 log = structlog.get_logger()
-OURS = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # what keeps a connection from coming up here, not at its streamer
 QUIET = 0.4  # seconds without a word after which one that plays for us is tested
 
 
@@ -34,7 +34,7 @@
         # Descriptors: beyond `most` set-ups share connections, beyond `limit` none is dialled.
         self.most, self.limit = launch.sockets // 3, launch.sockets // 3 + launch.sockets // 20
         # Connections that have been still for longer may be closed there while a set-up is on its way.
-        self.idle = launch.idle - launch.connect
+        self.idle = max(launch.idle - launch.connect, launch.idle / 2) or inf
         # For how long the answer to a tune-in given up is known for what it is.
         self.late = launch.longest + messages.OWED
         self.host: Host | None = None
@@ -83,12 +83,9 @@
         """All connections to streamers."""
         return [line for far in self.fars.values() for line in far.lines]
 
-    def room(self) -> bool:
+    def room(self, most: int | None = None) -> bool:
         """Whether descriptors are left for a connection of its own to each set-up."""
-        return self._open_ones() < self.most
-
-    def _open_ones(self) -> int:
-        return sum(len(far.lines) + far.connecting for far in self.fars.values())
+        return sum(len(far.lines) + far.connecting for far in self.fars.values()) < (most or self.most)
 
     def ended(self, viewing: str, streamer: str) -> Ending | None:
         """How a viewing that is handed over only now has ended already, if it has."""
@@ -118,14 +115,12 @@
         self.probes[ref] = streamer, self.clock()
         self._say(self.fars[streamer], messages.hb(ref))
 
-    def follow(self) -> None:
-        """The resolver is asked from the start."""
+    def follow(self) -> None: ...  # the resolver is asked from the start
 
     def tell(self, peer: int, words: bytes) -> None:
         log.warning("no way to controllers", peer=peer)
 
-    def short(self, whole: str) -> None:
-        """The platform has no store to divide wholes through."""
+    def short(self, whole: str) -> None: ...  # the platform has no store to divide wholes through
 
     def wake(self, at: float) -> None:
         self.alarm.set(at)
@@ -138,13 +133,14 @@
 
     def _open(self, far: Far, time_out: float) -> Line:
         """A new connection; raises OSError."""
-        if self._open_ones() >= self.limit:
+        if not self.room(self.limit):
             raise OSError(EMFILE, "as many connections to streamers as descriptors allow")
         far.connecting += 1
         try:
             sock = dial(far.address, time_out)
         finally:
             far.connecting -= 1
+            far.settled.set()
         line = Line(sock, far, self._heard, self._lost, self.clock())
         far.lines.add(line)
         far.pulse.broken = None
@@ -153,25 +149,30 @@
 
     def _leave(self, far: Far, out: Out) -> None:
         """Send a tune-in on its way, on a connection that may have to come up first."""
-        if not self._stays(far, out):
-            return
-        if (line := far.sound(self.room(), self.clock(), self.idle)) is None:
+        key, fresh = (far.name, out.ask.viewing), None
+        while self._stays(far, out):
+            line = fresh or far.sound(self.room(), self.clock(), self.idle)
+            if line and not line.closed:
+                self._send(line, out)
+                return
+            if not fresh and far.connecting and not self.room():
+                # Descriptors are short: one that is only coming up for another set-up will do.
+                far.settle(out.until - self.clock())
+                continue
             try:
-                line = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
+                if fresh:
+                    raise ConnectionAbortedError("closed as soon as it was up")
+                fresh = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
             except OSError as fault:
-                if self.outs.pop((far.name, out.ask.viewing), None) is out:
+                if self.outs.get(key) is out:
+                    del self.outs[key]
                     log.info("streamer not reached", streamer=far.name, cause=str(fault))
-                    never = fault.errno in OURS
-                    how = (Ending.FULL, Load()) if never else (Ending.UNREACHED, None)
-                    self.host.ended(self.clock(), out.ask.viewing, out.number, *how)
-                return
-            if not self._stays(far, out):
+                    self.host.ended(self.clock(), out.ask.viewing, out.number, *unreached(fault))
                 return
-        self._send(line, out)
 
     def _stays(self, far: Far, out: Out) -> bool:
         """Whether a tune-in may still leave, here and now: nothing runs between this and its sending."""
-        key, viewing = (far.name, out.ask.viewing), out.ask.viewing
+        viewing, key = out.ask.viewing, (far.name, out.ask.viewing)
         # What is due comes first, also in a process that is late; and whoever asked may have gone meanwhile.
         self.host.woke(self.clock())
         while self.outs.get(key) is out and not self.viewers.look(viewing):
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -234,3 +234,57 @@
     ref = w.ask(client)
     w.until(lambda: client.of("up", ref))
     assert ref in w.node.host.lives and not client.of("down", ref)
+
+
+# Descriptors.
+
+
+def test_connections_that_are_shed_as_they_come_give_their_descriptors_back(world):
+    w = world(streamers=1, sockets=40, **SLOW)
+    (streamer,) = w.streamers.values()
+    held = []
+    streamer.does = busy(held)
+    clients = [Plain(w.address) for _ in range(22)]
+    refs = [w.ask(client) for client in clients]
+    w.until(lambda: len(w.node.viewers.held) == 22)
+    more = [Plain(w.address) for _ in range(60)]
+    for client in more:
+        w.until(client.gone)
+        client.close()
+    w.until(lambda: len(w.node.viewers.wires) == 22)
+    made = [o for o in gc.get_objects() if type(o) is Wire and o._lost.__self__ is w.node.viewers]
+    assert sum(wire.sock.fileno() >= 0 for wire in made) == 22
+    assert set(refs) == set(w.node.viewers.held)
+
+
+def test_with_few_descriptors_set_ups_wait_for_a_connection_that_is_coming_up(world):
+    wide = SETTINGS["FamilyInfo"] | {"KbPerWeight": 3e6, "RackLinkKb": 9e7}
+    w = world(streamers=1, sockets=12, FamilyInfo=wide, **SLOW)
+    ((name, streamer),) = w.streamers.items()
+    held, client = [], Plain(w.address)
+    streamer.does = busy(held)
+    w.node.host.load_told(w.node.clock(), name, False, None, 0.0)
+    w.node.host.module.streamers[name].since = -1e9  # known for long: set-ups go as they come
+    refs = {w.ask(client) for _ in range(9)}  # at once: four connections are dialled, as many as there may be
+    w.until(lambda: len(held) == 9)
+    assert {m["ref"] for _, m in held} == refs and len(w.node.port.lines()) == 4
+
+
+def test_the_list_is_heard_of_with_no_descriptor_left(world):
+    w = world(streamers=2)
+    w.until(lambda: w.resolver.asked > 1)
+    gevent.sleep(0.1)  # it has its answer, and the next question is not out yet
+    spare, (soft, hard) = [], resource.getrlimit(resource.RLIMIT_NOFILE)
+    highest = max(map(int, os.listdir("/proc/self/fd")))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 1, hard))
+    try:
+        with pytest.raises(OSError):
+            while True:
+                spare.append(os.dup(0))
+        w.draining.add("s-00000000")
+        w.resolver.serial += 1
+        w.until(lambda: w.node.host.standing["s-00000000"] is Standing.LEAVING, 1.5)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for number in spare:
+            os.close(number)
