--- a/herongap/host/pulse.py
+++ b/herongap/host/pulse.py
@@ -11,6 +11,9 @@
 SILENT = 2.5  # seconds without a word, three heartbeats, after which it counts as delivering nothing
 LOST = 8.0  # seconds without a word after which its viewings are lost
 TESTED = 4.0  # the same where it has been tested all the time and passed no test
+# Seconds without a word, and since the last test, until the next. Deployments charge for each: no more than
+# leave a sound one a second to answer before it counts as silent.
+TEST = SILENT / 2
 GONE = 1.5  # seconds for which a broken stream may fail to come back
 
 
@@ -26,7 +29,7 @@
     """The event stream, or the tests, of one streamer; silent for `lost` seconds its viewings are lost."""
 
     def __init__(self, now: float, lost: float = LOST):
-        self.heard, self.broken, self.lost = now, None, lost
+        self.heard, self.broken, self.lost, self.tested = now, None, lost, now
 
     def spoke(self, now: float) -> None:
         """Bytes came on the stream."""
@@ -41,6 +44,12 @@
             self.broken = now
         return unknown or now - self.broken >= GONE
 
+    def test(self, now: float) -> bool:
+        """Whether it is to be tested now; asked about several times a second."""
+        if due := now - max(self.heard, self.tested) > TEST:
+            self.tested = now
+        return due
+
     def word(self, now: float) -> Word:
         """What is to be told now; asked about once a second."""
         quiet = now - self.heard
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -23,7 +23,6 @@
 from herongap.platform.messages import Message, Unfit, Unreadable
 
 log = structlog.get_logger()
-QUIET = 0.4  # seconds without a word after which one that plays for us is tested
 
 
 class Streamers:
@@ -309,7 +308,7 @@
             self._gone(far, "gone")
         elif not far.lines:
             self._need(far)
-        elif now - far.pulse.heard > QUIET:
+        elif far.pulse.test(now):
             self._say(far, messages.hb(self._test()))
         word = far.pulse.word(now)
         if word is Word.LOST:
--- a/herongap/platform/charter.py
+++ b/herongap/platform/charter.py
@@ -31,7 +31,8 @@
         full_from=float(info.get("RefusesFrom", 0)),
         told_late=info.get("ToldLate", 0) / 1000,
         tune_ins=int(allowed["MaxAttempts"]),
-        probes=bool(allowed.get("Probes")),
+        # Worth their price only where nothing else tells load: answers may carry the same reports.
+        probes=bool(allowed.get("Probes")) and (conf.get("Report") or {}).get("Via") == "on_probe",
         come_back=allowed.get("MaxRetryAfter", 0) / 1000 if allowed.get("RetryAfter") else 0.0,
         must_follow=conf.get("RegistryMode") == "ask",
         warm_up=rules["RampTime"] / 1000,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,5 +1,6 @@
 """Files and their checks, what a front takes on, the pulse of a streamer, and the command line."""
 
+import itertools
 import json
 import signal
 import subprocess
@@ -13,7 +14,7 @@
 from herongap.cli import main
 from herongap.daemon.feed import Watched
 from herongap.daemon.session import read_remote
-from herongap.host.pulse import GONE, LOST, SILENT, Pulse, Word
+from herongap.host.pulse import GONE, LOST, SILENT, TESTED, Pulse, Word
 from herongap.http import Reply
 from herongap.ini import Faults, read_catalogue, read_list, read_site
 from herongap.intake import Bounds, Intake
@@ -137,6 +138,19 @@
     assert len(intake.buckets) == intake.PEERS
 
 
+def test_a_streamer_is_tested_no_more_often_than_tells_in_time_that_it_is_silent():
+    pulse, tested = Pulse(0.0, TESTED), []
+    for quarter in range(1, 4 * 20):
+        now = quarter / 4
+        if pulse.test(now):
+            tested.append(now)
+        if now == 9.0:
+            pulse.spoke(now)  # an answer, after which it is silent for good
+    gaps = [b - a for a, b in itertools.pairwise((0.0, *tested))]
+    assert max(gaps) <= SILENT - 1.0 and min(gaps) > SILENT / 2 and len(tested) >= 12
+    assert any(9.0 < at <= 8.0 + SILENT for at in tested), "silent only after a test with time to answer"
+
+
 def test_the_pulse_of_a_streamer():
     pulse = Pulse(0.0)
     assert pulse.word(SILENT - 0.1) is Word.FINE and pulse.word(SILENT) is Word.SILENT
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 
 from herongap.interface import Ending, Standing
 from herongap.platform import launch, messages, roster
+from herongap.platform.charter import charter
 from herongap.platform.lines import MOST, Lines, TooLong
 from herongap.platform.parting import Parting
 
@@ -227,3 +228,12 @@
     # The kill comes no sooner than 3 s, or the longest patience, and 0.7 s: it has gone by itself before.
     assert not p.over(103.4, 0, 0, 5) and p.over(103.5, 1, 1, 5)
     assert not Parting(100.0, 5.0).over(105.4, 0, 0, 5) and Parting(100.0, 5.0).over(105.5, 0, 0, 5)
+
+
+def test_probes_are_for_deployments_in_which_nothing_else_tells_load():
+    allowed = SETTINGS["Allowed"] | {"Probes": True}
+    for via, probes in (("on_probe", True), ("inline", False), ("off", False)):
+        told = SETTINGS | {"Allowed": allowed, "Report": {"Columns": ["x0"], "Via": via}}
+        assert charter(told).probes is probes
+    assert not charter(SETTINGS | {"Allowed": allowed}).probes
+    assert not charter(SETTINGS | {"Report": {"Columns": [], "Via": "on_probe"}}).probes
