--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -1,7 +1,11 @@
 """A controller of the platform on loopback: its configuration, a resolver, streamers and a viewers' side."""
 
 import json
+import os
+import resource
 import socket as plain
+import subprocess
+import sys
 
 import dns.flags
 import dns.message
@@ -176,9 +180,12 @@
         self.settings, self.sockets = SETTINGS | settings, sockets
         self.peers = []
         self.configure(self.resolver.address)
+        self.next = 0
+        self.start()
+
+    def start(self):
         self.node = Node(str(self.path))
         self.node.start()
-        self.next = 0
 
     def configure(self, names):
         servers = [
@@ -213,3 +220,30 @@
         for part in (*self.peers, *self.streamers.values(), self.resolver):
             part.close()
         self.node.close()
+
+
+class ProcessWorld(World):
+    """The same with the controller in a process of its own, within its limit of descriptors."""
+
+    def start(self):
+        self.log = open(self.path.with_name("log"), "w+")  # noqa: SIM115
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "herongap.node"],
+            env=os.environ | {"PROXY_CONFIG": str(self.path)},
+            stderr=self.log,
+            stdout=self.log,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.sockets, self.sockets)),
+        )
+        until(lambda: self.says("ready"), 30.0)
+
+    def says(self, event: str) -> list[dict]:
+        """The lines of its log with that event."""
+        lines = self.path.with_name("log").read_text().splitlines()
+        return [told for told in map(json.loads, lines) if told["event"] == event]
+
+    def close(self):
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+        for part in (*self.peers, *self.streamers.values(), self.resolver):
+            part.close()
