--- a/deploy/sites/lay.py
+++ b/deploy/sites/lay.py
@@ -28,7 +28,7 @@
     """Take the key at this dotted path, in the first of a list of tables, out of `site`."""
     *tables, last = path.split(".")
     for name in tables:
-        site = first(site[name])
+        site = first(site.get(name, {}))
     site.pop(last, None)
 
 
