--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -18,8 +18,8 @@
 from herongap.node.viewers import Viewers
 from herongap.node.wire import TRACE
 from herongap.platform.launch import Fault, Launch, read
-from herongap.platform.parting import Parting
 from herongap.platform.roster import Roster
+from herongap.platform.shutdown import GracefulShutdown
 
 TEND = 0.25  # seconds between two looks at what has gone quiet
 FIGURES = 5.0  # seconds between two lines of figures in the log
@@ -80,14 +80,14 @@
         if self.stopping:
             return
         self.stopping = True
-        parting = Parting(self.clock(), self.launch.longest)
+        shutdown = GracefulShutdown(self.clock(), self.launch.longest)
         log.info("stopping", held=len(self.host.lives))
-        while parting.listens(self.clock()):
+        while shutdown.listens(self.clock()):
             gevent.sleep(0.02)
         # Once more round: what a late process has not accepted yet would be reset with the listener.
         gevent.sleep(0.02)
         self.viewers.stop()
-        while not parting.over(self.clock(), *self.viewers.pending()):
+        while not shutdown.over(self.clock(), *self.viewers.pending()):
             gevent.sleep(0.02)
         self.viewers.leave()
         log.info("stopped", left=len(self.host.lives), **self.host.counts)
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -41,7 +41,7 @@
         self.unheard: dict[str, tuple[Wire, bytes, float]] = {}
         self.wires: set[Wire] = set()
         self.trusted: dict[Wire, None] = {}  # on which viewings have stood, the newest last
-        self.ready = self.parting = False
+        self.ready = self.shutting_down = False
         self.listener = None
 
     def accept(self, listener) -> None:
@@ -77,7 +77,7 @@
 
     def stop(self) -> None:
         """Take no more connections than the system has taken for us; set-ups are refused at once from now."""
-        self.parting = True
+        self.shutting_down = True
         if not self.listener or self.listener.closed:
             return
         self.listener.settimeout(0.0)
@@ -172,7 +172,7 @@
             wire.send(messages.down(m.ref, messages.FAILED))
             return
         self._sound(wire)
-        if self.parting or self.crowd.swamped():
+        if self.shutting_down or self.crowd.swamped():
             wire.send(messages.down(m.ref, messages.BUSY, self.launch.charter.come_back))
             return
         now = self.clock()
--- a/herongap/platform/parting.py
+++ b/herongap/platform/shutdown.py
@@ -10,7 +10,7 @@
 SPARE = 0.25  # seconds before the kill by which the process has gone
 
 
-class Parting:
+class GracefulShutdown:
     """One end of one controller, told at `now`; `longest` is the longest patience in seconds."""
 
     def __init__(self, now: float, longest: float):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,7 @@
 from herongap.platform import launch, messages, roster
 from herongap.platform.charter import charter
 from herongap.platform.lines import MOST, Lines, TooLong
-from herongap.platform.parting import Parting
+from herongap.platform.shutdown import GracefulShutdown
 
 TERMS = messages.Terms(frozenset({"standard"}), frozenset({"acme"}), 3, 2)
 TEXTS = st.binary(max_size=60).map(lambda b: b.replace(b"\n", b""))
@@ -232,7 +232,7 @@
 
 
 def test_what_a_controller_does_after_sigterm_at_each_stated_moment():
-    p = Parting(100.0, 1.8)
+    p = GracefulShutdown(100.0, 1.8)
     # New connections come until 0.4 s, requests until 0.6 s: all that is taken as ever, and nothing ends it.
     assert all(p.listens(100.0 + t) and not p.over(100.0 + t, 0, 0, 0) for t in (0.0, 0.2, 0.4, 0.6, 0.7))
     assert not p.listens(100.8)
@@ -242,7 +242,8 @@
     assert p.over(100.8, 0, 0, 0)
     # The kill comes no sooner than 3 s, or the longest patience, and 0.7 s: it has gone by itself before.
     assert not p.over(103.4, 0, 0, 5) and p.over(103.5, 1, 1, 5)
-    assert not Parting(100.0, 5.0).over(105.4, 0, 0, 5) and Parting(100.0, 5.0).over(105.5, 0, 0, 5)
+    longer = GracefulShutdown(100.0, 5.0)
+    assert not longer.over(105.4, 0, 0, 5) and longer.over(105.5, 0, 0, 5)
 
 
 def test_probes_are_for_deployments_in_which_nothing_else_tells_load():
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -68,7 +68,7 @@
     ref = w.ask(v)
     w.until(lambda: v.of("up", ref))
     gevent.spawn(w.node.stop)
-    w.until(lambda: w.node.viewers.parting, 1.5)
+    w.until(lambda: w.node.viewers.shutting_down, 1.5)
     late = w.ask(v)
     w.until(lambda: v.of("down", late), 0.3)
     assert v.of("down", late)[0]["c"] == 42
