--- a/herongap/crowd.py
+++ b/herongap/limiter.py
@@ -14,7 +14,7 @@
 DOUBT = 1.0  # seconds that a connection to a streamer has to show that it lives
 
 
-def worn(now: float, lines: Iterable, room: bool, idle: float) -> list:
+def evictions(now: float, lines: Iterable, room: bool, idle: float) -> list:
     """The connections to one streamer that are to be closed; `room` tells whether descriptors are left,
     `idle` for how many seconds one may be still before its streamer might close it under a set-up.
 
@@ -40,7 +40,7 @@
     waiting: int
 
 
-class Crowd:
+class ConnectionLimiter:
     """All viewers' connections; `most` are kept, and up to `limit` where none of them may be closed."""
 
     def __init__(self, most: int, limit: int | None = None):
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -10,9 +10,9 @@
 from gevent.event import Event
 
 from herongap import observe
-from herongap.crowd import Crowd
 from herongap.daemon.listen import listen
 from herongap.host import Host
+from herongap.limiter import ConnectionLimiter
 from herongap.node.resolver import Resolver
 from herongap.node.streamers import Streamers
 from herongap.node.viewers import Viewers
@@ -48,8 +48,8 @@
         now = self.clock()
         self.host = Host(now, launch.seed, launch.charter, self.port)
         self.port.host = self.host
-        crowd = Crowd(launch.sockets // 2, launch.sockets // 2 + launch.sockets // 20)
-        self.viewers = self.port.viewers = Viewers(launch, self.host, crowd, self.clock)
+        limiter = ConnectionLimiter(launch.sockets // 2, launch.sockets // 2 + launch.sockets // 20)
+        self.viewers = self.port.viewers = Viewers(launch, self.host, limiter, self.clock)
         self.resolver = Resolver(launch.resolver, launch.seed, launch.racks, launch.known.serial, self._told)
         self.stopped, self.stopping = Event(), False
 
@@ -127,7 +127,7 @@
         while True:
             due = self.clock() + LOOK
             gevent.sleep(LOOK)
-            self.viewers.crowd.lagged(self.clock() - due)
+            self.viewers.limiter.lagged(self.clock() - due)
 
     def _tend(self) -> None:
         told = self.clock()
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -12,11 +12,11 @@
 import gevent
 import structlog
 
-from herongap.crowd import worn
 from herongap.daemon.alarm import Alarm
 from herongap.host import Answer, Host, State
 from herongap.host.pulse import Word
 from herongap.interface import Asked, Ending, Load
+from herongap.limiter import evictions
 from herongap.node.far import Address, Far, Line, Out, dial, unreached
 from herongap.platform import messages
 from herongap.platform.launch import Launch
@@ -277,7 +277,7 @@
         held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
         tuned = {name for name, _ in self.outs}
         for far in list(self.fars.values()):
-            for line in worn(now, far.lines, self.room(), self.idle):
+            for line in evictions(now, far.lines, self.room(), self.idle):
                 # Not closed at once: a release on its way here would be lost with it, and is never sent again
                 # unless another connection opens.
                 if line.finished:
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -6,9 +6,9 @@
 import gevent
 import structlog
 
-from herongap.crowd import DOUBT, Crowd
 from herongap.host import Answer, Host
 from herongap.interface import Ending
+from herongap.limiter import DOUBT, ConnectionLimiter
 from herongap.node.wire import Wire
 from herongap.platform import messages
 from herongap.platform.launch import Launch
@@ -30,8 +30,8 @@
 class Viewers:
     """All connections of viewers. `listener` is accepted from until `stop`."""
 
-    def __init__(self, launch: Launch, host: Host, crowd: Crowd, clock: Callable[[], float]):
-        self.launch, self.host, self.crowd, self.clock = launch, host, crowd, clock
+    def __init__(self, launch: Launch, host: Host, limiter: ConnectionLimiter, clock: Callable[[], float]):
+        self.launch, self.host, self.limiter, self.clock = launch, host, limiter, clock
         self.held: dict[str, Held] = {}
         self.owed: dict[str, tuple[bytes, float]] = {}
         self.ended: dict[str, float] = {}  # releases of what is not held: its set-up with `at` may come later
@@ -64,7 +64,7 @@
     def _take(self, sock, peer) -> None:
         wire = Wire(sock, peer[0], self._heard, self._lost, self._refuse)
         self.wires.add(wire)
-        if victims := self.crowd.came(self.clock(), wire, Wire.quiet):
+        if victims := self.limiter.came(self.clock(), wire, Wire.quiet):
             for victim in victims:
                 victim.close("shed")
             # Their descriptors are free only when they have ended: a crowd at the door must not outrun that.
@@ -96,7 +96,7 @@
     def tend(self) -> None:
         """Once in a short while: close what says nothing, drop what can no longer be told."""
         now = self.clock()
-        for wire in self.crowd.overdue(now, Wire.quiet, lambda wire: wire.lines.begun):
+        for wire in self.limiter.overdue(now, Wire.quiet, lambda wire: wire.lines.begun):
             wire.deaf, wire.cause = True, "silent"
             self._let_go(wire)
         for wire, until in list(self.leaving.items()):
@@ -146,7 +146,7 @@
         self.leaving[wire] = self.clock() + messages.OWED
 
     def _sound(self, wire: Wire) -> None:
-        self.crowd.spoke(self.clock(), wire)
+        self.limiter.spoke(self.clock(), wire)
 
     def _new(self, wire: Wire, m: Message) -> None:
         if not messages.NAMES.fullmatch(m.ref):
@@ -172,11 +172,11 @@
             wire.send(messages.down(m.ref, messages.FAILED))
             return
         self._sound(wire)
-        if self.shutting_down or self.crowd.swamped():
+        if self.shutting_down or self.limiter.swamped():
             wire.send(messages.down(m.ref, messages.BUSY, self.launch.charter.come_back))
             return
         now = self.clock()
-        self.crowd.took(wire)
+        self.limiter.took(wire)
         self.held[m.ref] = Held(wire, m.d)
         self.host.asked(now, ask._replace(left=max(0.0, ask.left - messages.AHEAD)))
 
@@ -212,7 +212,7 @@
         self.wires.discard(wire)
         self.leaving.pop(wire, None)
         self.trusted.pop(wire, None)
-        self.crowd.went(wire)
+        self.limiter.went(wire)
         for ref, held in [(ref, held) for ref, held in self.held.items() if held.wire is wire]:
             if held.answered and not (held.reply and wire.unsent(held.reply)):
                 held.wire = None  # a viewing that stands belongs to no connection
@@ -240,7 +240,7 @@
     def answer(self, ref: str, answer: Answer) -> None:
         held = self.held[ref]
         wire = held.wire
-        self.crowd.settled(wire)
+        self.limiter.settled(wire)
         if answer.verdict == "plays":
             up = messages.up(ref, held.reply)
             held.offer = held.reply = ""
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -16,7 +16,7 @@
 from node_world import OFFER, SETTINGS, World
 from plain_peers import Door, Plain
 
-import herongap.crowd
+import herongap.limiter
 from herongap.interface import Standing
 from herongap.node.wire import Wire
 from herongap.platform.lines import MOST
@@ -108,7 +108,7 @@
 
 
 def test_half_a_line_does_not_cost_what_was_taken_before_it(world, monkeypatch):
-    monkeypatch.setattr(herongap.crowd, "MUTE", 0.2)
+    monkeypatch.setattr(herongap.limiter, "MUTE", 0.2)
     w = world(**SLOW)
     held = []
     for s in w.streamers.values():
