--- a/herongap/node/wire.py
+++ b/herongap/node/connection.py
@@ -21,12 +21,12 @@
 log = structlog.get_logger()
 
 
-class Wire:
-    """A connection that stands. `heard(wire, line)` is called for each line, `lost(wire)` once at its end,
-    `spoilt(wire, fault)` for a line that is too long to be one; without it the connection ends there.
+class Connection:
+    """A connection that stands. `heard(conn, line)` is called for each line, `lost(conn)` once at its end,
+    `spoilt(conn, fault)` for a line that is too long to be one; without it the connection ends there.
 
-    `heard` may close the wire, or make it `deaf`; the lines that came with it are then dropped. A `finished`
-    one is only read to its end.
+    `heard` may close the connection, or make it `deaf`; the lines that came with it are then dropped. A
+    `half_closed` one is only read to its end.
     """
 
     def __init__(
@@ -34,9 +34,9 @@
     ):
         sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
         self.sock, self.peer, self._heard, self._lost = sock, peer, heard, lost
-        self._spoilt = spoilt or (lambda wire, fault: wire.close(str(fault)))
+        self._spoilt = spoilt or (lambda conn, fault: conn.close(str(fault)))
         self.lines, self.closed, self.cause = Lines(), False, ""
-        self.deaf = self.finished = self._ended = False
+        self.deaf = self.half_closed = self._ended = False
         # Messages that the system has not taken yet, `behind` bytes; of the first it has taken `_sent`.
         self._unsent: deque[bytes] = deque()
         self._sent, self.behind, self._writer = 0, 0, None
@@ -46,7 +46,7 @@
 
     def send(self, data: bytes) -> bool:
         """Write, or keep for when the peer reads on; False if the connection has ended."""
-        if self.closed or self.finished:
+        if self.closed or self.half_closed:
             return False
         if TRACE and TRACE in data:
             log.info("sent", peer=self.peer, line=data.decode())
@@ -73,9 +73,9 @@
                 return True
         return False
 
-    def finish(self) -> None:
+    def half_close(self) -> None:
         """Say that nothing more will be sent, once all has been, and read on to the end."""
-        self.finished = True
+        self.half_closed = True
         if not self._unsent:
             with suppress(OSError):
                 self.sock._sock.shutdown(plain.SHUT_WR)
@@ -103,8 +103,8 @@
                 self.sock._wait(self.sock._write_event)
                 self._flush()
         self._writer = None
-        if self.finished and not self.closed:
-            self.finish()
+        if self.half_closed and not self.closed:
+            self.half_close()
 
     # Reading.
 
--- a/herongap/node/far.py
+++ b/herongap/node/far.py
@@ -8,7 +8,7 @@
 
 from herongap.host.pulse import TESTED, Pulse
 from herongap.interface import Asked, Ending, Load
-from herongap.node.wire import Wire
+from herongap.node.connection import Connection
 
 Address = tuple[str, int]
 OURS = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # what keeps a connection from coming up here, not at its streamer
@@ -43,7 +43,7 @@
         self.sent = b""
 
 
-class Line(Wire):
+class Line(Connection):
     """A connection to a streamer, with the set-ups that it carries.
 
     `doubted` is since when it may be dead, as a set-up on it had no answer; None once it has spoken again.
@@ -84,7 +84,7 @@
         that its streamer has left unread, still for under `idle` seconds; `free` of set-ups where wanted.
         """
         for line in sorted(self.lines, key=lambda line: -line.spoke):
-            usable = not (line.finished or line.behind or (free and line.outs)) and now - line.spoke < idle
+            usable = not (line.half_closed or line.behind or (free and line.outs)) and now - line.spoke < idle
             if usable and line.doubted is None:
                 if line.stands():
                     return line
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -13,10 +13,10 @@
 from herongap.daemon.listen import listen
 from herongap.host import Host
 from herongap.limiter import ConnectionLimiter
+from herongap.node.connection import TRACE
 from herongap.node.resolver import Resolver
 from herongap.node.streamers import Streamers
 from herongap.node.viewers import Viewers
-from herongap.node.wire import TRACE
 from herongap.platform.launch import Fault, Launch, read
 from herongap.platform.roster import Roster
 from herongap.platform.shutdown import GracefulShutdown
@@ -97,8 +97,8 @@
         """Cut everything at once."""
         self.viewers.stop()
         gevent.killall(self._greenlets, block=False)
-        for wire in (*self.viewers.wires, *self.port.lines()):
-            wire.close()
+        for conn in (*self.viewers.connections, *self.port.lines()):
+            conn.close()
 
     def beliefs(self) -> dict[str, tuple]:
         """Of each streamer: viewings held, what is asked of its link and uplink over what these give."""
@@ -146,7 +146,7 @@
                 log.info(
                     "figures",
                     held=len(self.host.lives),
-                    viewers=len(self.viewers.wires),
+                    viewers=len(self.viewers.connections),
                     streamers=len(self.port.lines()),
                     behind=round(worst, 3),
                     cpu=round(time.process_time(), 2),
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -59,7 +59,7 @@
                 # Its own lines go with it; viewings that it still has are told of on the next.
                 far.address = address
                 for line in far.lines:
-                    line.finish()
+                    line.half_close()
         for name, far in self.fars.items():
             far.gone = name not in addresses
 
@@ -242,7 +242,7 @@
     def _lost(self, line: Line) -> None:
         far = line.far
         far.lines.discard(line)
-        if not line.finished and not far.gone and self.host.held(far.name):
+        if not line.half_closed and not far.gone and self.host.held(far.name):
             # A release may have been lost with it; its streamer sends that again on the next that opens.
             self._need(far)
         for out in line.outs.values():
@@ -280,11 +280,11 @@
             for line in evictions(now, far.lines, self.room(), self.idle):
                 # Not closed at once: a release on its way here would be lost with it, and is never sent again
                 # unless another connection opens.
-                if line.finished:
+                if line.half_closed:
                     line.close("its streamer does not let go")
                 else:
                     line.doubted = now
-                    line.finish()
+                    line.half_close()
             if far.owes(now) and not far.gone:
                 self._need(far)
             if held[far.name]:
@@ -331,7 +331,7 @@
         try:
             m = messages.read(data)
             now = self.clock()
-            line.spoke, line.doubted = now, line.doubted if line.finished else None
+            line.spoke, line.doubted = now, line.doubted if line.half_closed else None
             far.pulse.spoke(now)
             far.told_silent = False
             match m.t:
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -9,7 +9,7 @@
 from herongap.host import Answer, Host
 from herongap.interface import Ending
 from herongap.limiter import DOUBT, ConnectionLimiter
-from herongap.node.wire import Wire
+from herongap.node.connection import Connection
 from herongap.platform import messages
 from herongap.platform.launch import Launch
 from herongap.platform.messages import Message, Unfit, Unreadable
@@ -20,11 +20,11 @@
 class Held:
     """A viewing as its viewer's side has it: its connection, and what it offers until it plays."""
 
-    __slots__ = ("wire", "offer", "reply", "answered", "mine")  # `reply`, once answered: until it has left
+    __slots__ = ("conn", "offer", "reply", "answered", "mine")  # `reply`, once answered: until it has left
 
-    def __init__(self, wire: Wire, offer: str):
+    def __init__(self, conn: Connection, offer: str):
         # The reply is kept apart: one that the host finds late must not be the offer of the next tune-in.
-        self.wire, self.offer, self.reply, self.answered, self.mine = wire, offer, "", False, False
+        self.conn, self.offer, self.reply, self.answered, self.mine = conn, offer, "", False, False
 
 
 class Viewers:
@@ -36,11 +36,11 @@
         self.owed: dict[str, tuple[bytes, float]] = {}
         self.ended: dict[str, float] = {}  # releases of what is not held: its set-up with `at` may come later
         # Connections that are let go, and until when their peers may close them first.
-        self.leaving: dict[Wire, float] = {}
+        self.leaving: dict[Connection, float] = {}
         # Releases on their way: what a connection took along when it broke is told again on another.
-        self.unheard: dict[str, tuple[Wire, bytes, float]] = {}
-        self.wires: set[Wire] = set()
-        self.trusted: dict[Wire, None] = {}  # on which viewings have stood, the newest last
+        self.unheard: dict[str, tuple[Connection, bytes, float]] = {}
+        self.connections: set[Connection] = set()
+        self.trusted: dict[Connection, None] = {}  # on which viewings have stood, the newest last
         self.ready = self.shutting_down = False
         self.listener = None
 
@@ -62,9 +62,9 @@
                 continue  # reset before it was looked at
 
     def _take(self, sock, peer) -> None:
-        wire = Wire(sock, peer[0], self._heard, self._lost, self._refuse)
-        self.wires.add(wire)
-        if victims := self.limiter.came(self.clock(), wire, Wire.quiet):
+        conn = Connection(sock, peer[0], self._heard, self._lost, self._refuse)
+        self.connections.add(conn)
+        if victims := self.limiter.came(self.clock(), conn, Connection.quiet):
             for victim in victims:
                 victim.close("shed")
             # Their descriptors are free only when they have ended: a crowd at the door must not outrun that.
@@ -73,7 +73,7 @@
     def pending(self) -> tuple[int, int, int]:
         """How many set-ups wait for an answer, connections hold something unread or unsent, viewings play."""
         waiting = sum(not held.answered for held in self.held.values())
-        return waiting, sum(not wire.quiet() for wire in self.wires), len(self.held) - waiting
+        return waiting, sum(not conn.quiet() for conn in self.connections), len(self.held) - waiting
 
     def stop(self) -> None:
         """Take no more connections than the system has taken for us; set-ups are refused at once from now."""
@@ -89,21 +89,21 @@
 
     def leave(self) -> None:
         """Hear what has come to the last moment, and end every connection: nothing is owed on any by now."""
-        for wire in list(self.wires):
-            wire.look()
-            wire.close("stopped")
+        for conn in list(self.connections):
+            conn.look()
+            conn.close("stopped")
 
     def tend(self) -> None:
         """Once in a short while: close what says nothing, drop what can no longer be told."""
         now = self.clock()
-        for wire in self.limiter.overdue(now, Wire.quiet, lambda wire: wire.lines.begun):
-            wire.deaf, wire.cause = True, "silent"
-            self._let_go(wire)
-        for wire, until in list(self.leaving.items()):
+        for conn in self.limiter.overdue(now, Connection.quiet, lambda conn: conn.lines.begun):
+            conn.deaf, conn.cause = True, "silent"
+            self._let_go(conn)
+        for conn, until in list(self.leaving.items()):
             # With all that was owed sent, its peer has a moment to close first, and read what is on its way.
-            self.leaving[wire] = until = until if wire.behind else min(until, now + DOUBT)
+            self.leaving[conn] = until = until if conn.behind else min(until, now + DOUBT)
             if until <= now:
-                wire.close("not understood")
+                conn.close("not understood")
         for told in (self.owed, self.unheard):
             for ref in [ref for ref, entry in told.items() if entry[-1] <= now]:
                 del told[ref]
@@ -112,81 +112,81 @@
     def look(self, ref: str) -> bool:
         """Hear what lies unread of whoever asked for a viewing that is set up; whether that was all of it."""
         held = self.held.get(ref)
-        return held is None or held.wire is None or held.wire.look()
+        return held is None or held.conn is None or held.conn.look()
 
     # What viewers say.
 
-    def _heard(self, wire: Wire, line: bytes) -> None:
+    def _heard(self, conn: Connection, line: bytes) -> None:
         try:
             m = messages.read(line)
             if m.t == "new":
-                self._new(wire, m)
+                self._new(conn, m)
             elif m.t == "down":
-                self._down(wire, m)
+                self._down(conn, m)
             elif m.t == "hb":
-                self._sound(wire)
-                wire.send(messages.hb_ok(m.ref[:64], self.ready))
+                self._sound(conn)
+                conn.send(messages.hb_ok(m.ref[:64], self.ready))
             elif m.t == "ack":
                 self.unheard.pop(m.ref, None)
             elif m.t not in ("wait", "tell"):
                 raise Unreadable(f"unknown message {m.t!r:.20}")
         except Unreadable as fault:
-            self._refuse(wire, fault)
+            self._refuse(conn, fault)
 
-    def _refuse(self, wire: Wire, fault: Exception) -> None:
+    def _refuse(self, conn: Connection, fault: Exception) -> None:
         """Nothing that follows there can be made out. What was taken on it has its answer first."""
-        log.info("viewer not understood", peer=wire.peer, cause=str(fault)[:120])
-        wire.deaf, wire.cause = True, str(fault)
-        self._let_go(wire)
+        log.info("viewer not understood", peer=conn.peer, cause=str(fault)[:120])
+        conn.deaf, conn.cause = True, str(fault)
+        self._let_go(conn)
 
-    def _let_go(self, wire: Wire) -> None:
-        if wire.finished or any(held.wire is wire and not held.answered for held in self.held.values()):
+    def _let_go(self, conn: Connection) -> None:
+        if conn.half_closed or any(held.conn is conn and not held.answered for held in self.held.values()):
             return
-        wire.finish()
-        self.leaving[wire] = self.clock() + messages.OWED
+        conn.half_close()
+        self.leaving[conn] = self.clock() + messages.OWED
 
-    def _sound(self, wire: Wire) -> None:
-        self.limiter.spoke(self.clock(), wire)
+    def _sound(self, conn: Connection) -> None:
+        self.limiter.spoke(self.clock(), conn)
 
-    def _new(self, wire: Wire, m: Message) -> None:
+    def _new(self, conn: Connection, m: Message) -> None:
         if not messages.NAMES.fullmatch(m.ref):
             raise Unreadable("a set-up without an id")
         held = self.held.get(m.ref)
         try:
             ask, at = messages.asked(m, self.launch.terms)
             if at is not None:
-                self._handed(wire, m, ask, at)
+                self._handed(conn, m, ask, at)
                 return
-            if held is not None and not held.answered and held.wire is not wire:
+            if held is not None and not held.answered and held.conn is not conn:
                 # The same again after its connection has gone, which may lie unread.
-                held.wire.look()
+                held.conn.look()
                 held = self.held.get(m.ref)
             if held is not None:
-                if held.wire is wire:
+                if held.conn is conn:
                     raise Unreadable("an id that is open already")
                 raise Unfit("an id that is open elsewhere")
             if not m.d:
                 raise Unfit("no description")
         except Unfit as fault:
-            log.info("set-up refused", peer=wire.peer, cause=str(fault)[:120])
-            wire.send(messages.down(m.ref, messages.FAILED))
+            log.info("set-up refused", peer=conn.peer, cause=str(fault)[:120])
+            conn.send(messages.down(m.ref, messages.FAILED))
             return
-        self._sound(wire)
+        self._sound(conn)
         if self.shutting_down or self.limiter.swamped():
-            wire.send(messages.down(m.ref, messages.BUSY, self.launch.charter.come_back))
+            conn.send(messages.down(m.ref, messages.BUSY, self.launch.charter.come_back))
             return
         now = self.clock()
-        self.limiter.took(wire)
-        self.held[m.ref] = Held(wire, m.d)
+        self.limiter.took(conn)
+        self.held[m.ref] = Held(conn, m.d)
         self.host.asked(now, ask._replace(left=max(0.0, ask.left - messages.AHEAD)))
 
-    def _handed(self, wire: Wire, m: Message, ask, at: str) -> None:
+    def _handed(self, conn: Connection, m: Message, ask, at: str) -> None:
         if m.ref in self.held or m.ref in self.host.lives:
             return
-        self._sound(wire)
-        held = self.held[m.ref] = Held(wire, "")
+        self._sound(conn)
+        held = self.held[m.ref] = Held(conn, "")
         held.answered = True
-        self.trusted[wire] = None
+        self.trusted[conn] = None
         floor = next(p.floor for p in self.launch.charter.packages if p.name == ask.package)
         if not self.host.adopted(self.clock(), ask, 0, at, floor):
             self.over(m.ref, Ending.BROKEN)
@@ -197,32 +197,32 @@
         elif how := self.host.port.ended(m.ref, at):
             self.host.ended(self.clock(), m.ref, 0, how)
 
-    def _down(self, wire: Wire, m: Message) -> None:
-        self._sound(wire)
+    def _down(self, conn: Connection, m: Message) -> None:
+        self._sound(conn)
         if (held := self.held.get(m.ref)) is None:
             self.ended[m.ref[:64]] = self.clock() + messages.OWED
             return
-        if not held.answered and held.wire is not wire:
+        if not held.answered and held.conn is not conn:
             return  # only whoever asked may take it back
         held.mine = True
-        wire.send(messages.ack(m.ref))
+        conn.send(messages.ack(m.ref))
         self.host.left(self.clock(), m.ref)
 
-    def _lost(self, wire: Wire) -> None:
-        self.wires.discard(wire)
-        self.leaving.pop(wire, None)
-        self.trusted.pop(wire, None)
-        self.limiter.went(wire)
-        for ref, held in [(ref, held) for ref, held in self.held.items() if held.wire is wire]:
-            if held.answered and not (held.reply and wire.unsent(held.reply)):
-                held.wire = None  # a viewing that stands belongs to no connection
+    def _lost(self, conn: Connection) -> None:
+        self.connections.discard(conn)
+        self.leaving.pop(conn, None)
+        self.trusted.pop(conn, None)
+        self.limiter.went(conn)
+        for ref, held in [(ref, held) for ref, held in self.held.items() if held.conn is conn]:
+            if held.answered and not (held.reply and conn.unsent(held.reply)):
+                held.conn = None  # a viewing that stands belongs to no connection
             elif ref in self.held:
                 # Nobody is left to be answered, or the answer never left whole.
                 held.mine = True
                 self.host.left(self.clock(), ref)
 
         for ref, (at, message, until) in list(self.unheard.items()):
-            if at is wire:
+            if at is conn:
                 del self.unheard[ref]
                 self._tell(ref, message, None, until)
 
@@ -239,26 +239,26 @@
 
     def answer(self, ref: str, answer: Answer) -> None:
         held = self.held[ref]
-        wire = held.wire
-        self.limiter.settled(wire)
+        conn = held.conn
+        self.limiter.settled(conn)
         if answer.verdict == "plays":
             up = messages.up(ref, held.reply)
             held.offer = held.reply = ""
             # One that has gone hears nothing: its end, told in a moment, then ends the viewing too.
-            held.answered = wire.send(up)
+            held.answered = conn.send(up)
             if held.answered:
-                held.reply = up if wire.unsent(up) else ""
-                self.trusted.pop(wire, None)
-                self.trusted[wire] = None
-                self._pay(wire)
+                held.reply = up if conn.unsent(up) else ""
+                self.trusted.pop(conn, None)
+                self.trusted[conn] = None
+                self._pay(conn)
         else:
             del self.held[ref]
             if answer.verdict == "blocked":
-                wire.send(messages.down(ref, messages.REFUSED, answer.come_back))
+                conn.send(messages.down(ref, messages.REFUSED, answer.come_back))
             elif answer.verdict == "aborted":
-                wire.send(messages.down(ref, messages.FAILED))
-        if wire.deaf:
-            self._let_go(wire)
+                conn.send(messages.down(ref, messages.FAILED))
+        if conn.deaf:
+            self._let_go(conn)
 
     def moved(self, ref: str) -> None:
         """The host takes a viewing off its streamer; unless its viewer ended it, that one comes again."""
@@ -274,18 +274,18 @@
             self._release(ref, held, messages.down(ref, cause))
 
     def _release(self, ref: str, held: Held, message: bytes) -> None:
-        self._tell(ref, message, held.wire, self.clock() + messages.OWED)
+        self._tell(ref, message, held.conn, self.clock() + messages.OWED)
 
-    def _tell(self, ref: str, message: bytes, first: Wire | None, until: float) -> None:
+    def _tell(self, ref: str, message: bytes, first: Connection | None, until: float) -> None:
         """A release, on the connection that is best for it, kept until it is acknowledged."""
-        for wire in (first, *reversed(self.trusted)):
-            if wire is not None and wire.send(message):
-                self.unheard[ref] = wire, message, until
+        for conn in (first, *reversed(self.trusted)):
+            if conn is not None and conn.send(message):
+                self.unheard[ref] = conn, message, until
                 return
         # No way to its viewer's side is open: it goes with the next that opens.
         self.owed[ref] = message, until
 
-    def _pay(self, wire: Wire) -> None:
+    def _pay(self, conn: Connection) -> None:
         owed, self.owed = self.owed, {}
         for ref, (message, until) in owed.items():
-            self._tell(ref, message, wire, until)
+            self._tell(ref, message, conn, until)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -18,7 +18,7 @@
 
 import herongap.limiter
 from herongap.interface import Standing
-from herongap.node.wire import Wire
+from herongap.node.connection import Connection
 from herongap.platform.lines import MOST
 
 SLOW = dict(
@@ -40,8 +40,8 @@
 
 def small_buffers(w):
     """What the controller's machine holds for its viewers' connections is next to nothing."""
-    for wire in w.node.viewers.wires:
-        wire.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+    for conn in w.node.viewers.connections:
+        conn.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
 
 
 def handed(w, peer, ref, name):
@@ -92,7 +92,7 @@
     heard(w, client)
     small_buffers(w)
     ref = w.ask(client)
-    w.until(lambda: any(wire.behind for wire in w.node.viewers.wires))
+    w.until(lambda: any(conn.behind for conn in w.node.viewers.connections))
     client.raw(b"noise\n")
     gevent.sleep(0.1)
     w.until(client.gone, 6.0)  # reads on only now
@@ -104,7 +104,7 @@
     client = Plain(w.address)
     client.raw(b"noise\n")
     w.until(client.gone, 0.5)
-    w.until(lambda: not w.node.viewers.wires and not w.node.viewers.leaving, 2.0)
+    w.until(lambda: not w.node.viewers.connections and not w.node.viewers.leaving, 2.0)
 
 
 def test_half_a_line_does_not_cost_what_was_taken_before_it(world, monkeypatch):
@@ -135,7 +135,7 @@
     heard(w, client)
     small_buffers(w)
     ref = w.ask(client)
-    w.until(lambda: any(wire.behind for wire in w.node.viewers.wires))
+    w.until(lambda: any(conn.behind for conn in w.node.viewers.connections))
     streamer.peers[0].say(t="down", ref=ref, c=16)
     w.until(lambda: not w.node.host.lives)
     gevent.spawn(w.node.stop)
@@ -325,9 +325,9 @@
     for client in more:
         w.until(client.gone)
         client.close()
-    w.until(lambda: len(w.node.viewers.wires) == 22)
-    made = [o for o in gc.get_objects() if type(o) is Wire and o._lost.__self__ is w.node.viewers]
-    assert sum(wire.sock.fileno() >= 0 for wire in made) == 22
+    w.until(lambda: len(w.node.viewers.connections) == 22)
+    made = [o for o in gc.get_objects() if type(o) is Connection and o._lost.__self__ is w.node.viewers]
+    assert sum(conn.sock.fileno() >= 0 for conn in made) == 22
     assert set(refs) == set(w.node.viewers.held)
 
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -205,10 +205,10 @@
     client = Plain(w.address, small=True)
     ref = w.ask(client, left="30000")
     w.until(lambda: held)
-    (wire,) = w.node.viewers.wires
-    wire.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+    (conn,) = w.node.viewers.connections
+    conn.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
     held[0][0].say(t="up", ref=ref, d="x" * 15800)
-    w.until(lambda: wire.behind)
+    w.until(lambda: conn.behind)
     client.close()
     w.until(lambda: streamer.heard("down", ref))
     w.until(lambda: not w.node.host.lives and not w.node.viewers.held)
