--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -17,7 +17,7 @@
 from herongap.host.pulse import Word
 from herongap.interface import Asked, Ending, Load
 from herongap.limiter import evictions
-from herongap.node.far import Address, Far, Line, Out, dial, unreached
+from herongap.node.upstream import Address, Line, Out, Upstream, dial, unreached
 from herongap.platform import messages
 from herongap.platform.launch import Launch
 from herongap.platform.messages import Message, Unfit, Unreadable
@@ -38,7 +38,7 @@
         self.late = launch.longest + messages.OWED
         self.host: Host | None = None
         self.viewers = None
-        self.fars: dict[str, Far] = {}
+        self.upstreams: dict[str, Upstream] = {}
         self.outs: dict[tuple[str, str], Out] = {}
         self.given_up: dict[tuple[str, str], float] = {}
         # Ends of viewings that nobody has handed over yet: a release may come before the set-up with `at`.
@@ -53,38 +53,38 @@
         """Where each streamer of the newest list listens. One that has gone is kept while it plays for us."""
         now = self.clock()
         for name, address in addresses.items():
-            if (far := self.fars.get(name)) is None:
-                self.fars[name] = Far(name, address, now)
-            elif far.address != address:
+            if (upstream := self.upstreams.get(name)) is None:
+                self.upstreams[name] = Upstream(name, address, now)
+            elif upstream.address != address:
                 # Its own lines go with it; viewings that it still has are told of on the next.
-                far.address = address
-                for line in far.lines:
+                upstream.address = address
+                for line in upstream.lines:
                     line.half_close()
-        for name, far in self.fars.items():
-            far.gone = name not in addresses
+        for name, upstream in self.upstreams.items():
+            upstream.gone = name not in addresses
 
     def replaced(self) -> None:
         """To be called when the host has the list too: what ends here may be decided on anew at once."""
-        taken = {far.address for far in self.fars.values() if not far.gone}
-        for far in list(self.fars.values()):
-            if far.gone and far.address in taken:
+        taken = {upstream.address for upstream in self.upstreams.values() if not upstream.gone}
+        for upstream in list(self.upstreams.values()):
+            if upstream.gone and upstream.address in taken:
                 # Another one listens there now: whatever answers is not the one that played for us.
-                self._gone(far, "replaced")
+                self._gone(upstream, "replaced")
 
     # The port.
 
     def tune_in(self, ask: Asked, number: int, streamer: str, rung: int, time_out: float) -> None:
         out = self.outs[streamer, ask.viewing] = Out(ask, number, rung, self.clock() + time_out)
         # Not from within the host's call: all that the system has told by now is heard first.
-        gevent.spawn(self._leave, self.fars[streamer], out)
+        gevent.spawn(self._leave, self.upstreams[streamer], out)
 
     def lines(self) -> list[Line]:
         """All connections to streamers."""
-        return [line for far in self.fars.values() for line in far.lines]
+        return [line for upstream in self.upstreams.values() for line in upstream.lines]
 
     def room(self, most: int | None = None) -> bool:
         """Whether descriptors are left for a connection of its own to each set-up."""
-        return sum(len(far.lines) + far.connecting for far in self.fars.values()) < (most or self.most)
+        return sum(len(one.lines) + one.connecting for one in self.upstreams.values()) < (most or self.most)
 
     def ended(self, viewing: str, streamer: str) -> Ending | None:
         """How a viewing that is handed over only now has ended already, if it has."""
@@ -92,14 +92,14 @@
 
     def call_off(self, viewing: str, number: int, streamer: str) -> None:
         if out := self.outs.pop((streamer, viewing), None):
-            self._take_back(self.fars[streamer], out)
+            self._take_back(self.upstreams[streamer], out)
 
     def set_rung(self, viewing: str, number: int, streamer: str, rung: int) -> None:
-        self._say(self.fars[streamer], messages.step(viewing, rung))
+        self._say(self.upstreams[streamer], messages.step(viewing, rung))
 
     def tear_down(self, viewing: str, number: int, streamer: str, wanted: bool) -> None:
-        if far := self.fars.get(streamer):
-            self._say(far, messages.down(viewing, messages.ENDED))
+        if upstream := self.upstreams.get(streamer):
+            self._say(upstream, messages.down(viewing, messages.ENDED))
         if wanted:
             self.viewers.moved(viewing)
 
@@ -112,7 +112,7 @@
     def probe(self, streamer: str) -> None:
         ref = self._test()
         self.probes[ref] = streamer, self.clock()
-        self._say(self.fars[streamer], messages.hb(ref))
+        self._say(self.upstreams[streamer], messages.hb(ref))
 
     def follow(self) -> None: ...  # the resolver is asked from the start
 
@@ -130,51 +130,51 @@
 
     # Connections.
 
-    def _open(self, far: Far, time_out: float) -> Line:
+    def _open(self, upstream: Upstream, time_out: float) -> Line:
         """A new connection; raises OSError."""
         if not self.room(self.limit):
             raise OSError(EMFILE, "as many connections to streamers as descriptors allow")
-        far.connecting, address = far.connecting + 1, far.address
+        upstream.connecting, address = upstream.connecting + 1, upstream.address
         try:
             sock = dial(address, time_out)
         finally:
-            far.connecting -= 1
-            far.settled.set()
-        if far.address != address:
+            upstream.connecting -= 1
+            upstream.settled.set()
+        if upstream.address != address:
             sock.close()
             raise ConnectionAbortedError("its address changed: whoever listens there now is another")
-        line = Line(sock, far, self._heard, self._lost, self.clock())
-        far.lines.add(line)
-        far.pulse.broken = None
-        far.pay(line, self.clock())
+        line = Line(sock, upstream, self._heard, self._lost, self.clock())
+        upstream.lines.add(line)
+        upstream.pulse.broken = None
+        upstream.pay(line, self.clock())
         return line
 
-    def _leave(self, far: Far, out: Out) -> None:
+    def _leave(self, upstream: Upstream, out: Out) -> None:
         """Send a tune-in on its way, on a connection that may have to come up first."""
-        key, fresh = (far.name, out.ask.viewing), None
-        while self._stays(far, out):
-            line = fresh or far.sound(self.room(), self.clock(), self.idle)
+        key, fresh = (upstream.name, out.ask.viewing), None
+        while self._stays(upstream, out):
+            line = fresh or upstream.sound(self.room(), self.clock(), self.idle)
             if line and not line.closed:
                 self._send(line, out)
                 return
-            if not fresh and far.connecting and not self.room():
+            if not fresh and upstream.connecting and not self.room():
                 # Descriptors are short: one that is only coming up for another set-up will do.
-                far.settle(out.until - self.clock())
+                upstream.settle(out.until - self.clock())
                 continue
             try:
                 if fresh:
                     raise ConnectionAbortedError("closed as soon as it was up")
-                fresh = self._open(far, max(0.01, min(self.connect, out.until - self.clock())))
+                fresh = self._open(upstream, max(0.01, min(self.connect, out.until - self.clock())))
             except OSError as fault:
                 if self.outs.get(key) is out:
                     del self.outs[key]
-                    log.info("streamer not reached", streamer=far.name, cause=str(fault))
+                    log.info("streamer not reached", streamer=upstream.name, cause=str(fault))
                     self.host.ended(self.clock(), out.ask.viewing, out.number, *unreached(fault))
                 return
 
-    def _stays(self, far: Far, out: Out) -> bool:
+    def _stays(self, upstream: Upstream, out: Out) -> bool:
         """Whether a tune-in may still leave, here and now: nothing runs between this and its sending."""
-        viewing, key = out.ask.viewing, (far.name, out.ask.viewing)
+        viewing, key = out.ask.viewing, (upstream.name, out.ask.viewing)
         # What is due comes first, also in a process that is late; and whoever asked may have gone meanwhile.
         self.host.woke(self.clock())
         while self.outs.get(key) is out and not self.viewers.look(viewing):
@@ -194,43 +194,43 @@
         out.sent = messages.set_up(out.ask, out.rung, out.until - self.clock(), offer)
         line.send(out.sent)  # what becomes of one that cannot be written its line's end tells the host
 
-    def _say(self, far: Far, message: bytes) -> None:
+    def _say(self, upstream: Upstream, message: bytes) -> None:
         """Something that concerns no set-up that is out: on any connection, else on the next."""
-        line = far.sound(False, self.clock(), self.idle)
+        line = upstream.sound(False, self.clock(), self.idle)
         if line is None or not line.send(message):
-            self._owe(far, message)
+            self._owe(upstream, message)
 
-    def _owe(self, far: Far, message: bytes) -> None:
-        far.owed.append((message, self.clock() + messages.OWED))
-        self._need(far)
+    def _owe(self, upstream: Upstream, message: bytes) -> None:
+        upstream.owed.append((message, self.clock() + messages.OWED))
+        self._need(upstream)
 
-    def _need(self, far: Far) -> None:
-        if not far.connecting:
-            far.connecting += 1
-            gevent.spawn(self._again, far)
+    def _need(self, upstream: Upstream) -> None:
+        if not upstream.connecting:
+            upstream.connecting += 1
+            gevent.spawn(self._again, upstream)
 
-    def _again(self, far: Far) -> None:
-        far.connecting -= 1
+    def _again(self, upstream: Upstream) -> None:
+        upstream.connecting -= 1
         try:
-            self._open(far, self.connect)
+            self._open(upstream, self.connect)
         except ConnectionRefusedError:
             # Nobody listens there: if no connection stands, the process is gone with what it played.
-            if not any(line.stands() for line in far.lines) and far.pulse.broke(self.clock(), True):
-                self._gone(far, "refused")
+            if not any(line.stands() for line in upstream.lines) and upstream.pulse.broke(self.clock(), True):
+                self._gone(upstream, "refused")
         except OSError as fault:
-            log.debug("streamer not reached", streamer=far.name, cause=str(fault))  # tried again by `tend`
+            log.debug("streamer not reached", streamer=upstream.name, cause=str(fault))
 
-    def _take_back(self, far: Far, out: Out) -> None:
+    def _take_back(self, upstream: Upstream, out: Out) -> None:
         if not (line := out.line) or not line.outs.pop(out.ask.viewing, None) or line.withdraw(out.sent):
             return  # nothing of it has left
         if line.unsent(out.sent) and not line.outs:
             # A part of it waits in our own buffer: cut off it is no set-up, sent whole it would be one.
             line.close("taken back before it had left")
             return
-        self.given_up[far.name, out.ask.viewing] = self.clock() + self.late
+        self.given_up[upstream.name, out.ask.viewing] = self.clock() + self.late
         release = messages.down(out.ask.viewing, messages.ENDED)
         if not line.send(release):
-            self._owe(far, release)
+            self._owe(upstream, release)
         elif line.doubted is None:
             # It bears the next set-up once it has shown that it lives.
             line.doubted = self.clock()
@@ -240,33 +240,33 @@
         return f"{next(self._tests):016x}"
 
     def _lost(self, line: Line) -> None:
-        far = line.far
-        far.lines.discard(line)
-        if not line.half_closed and not far.gone and self.host.held(far.name):
+        upstream = line.upstream
+        upstream.lines.discard(line)
+        if not line.half_closed and not upstream.gone and self.host.held(upstream.name):
             # A release may have been lost with it; its streamer sends that again on the next that opens.
-            self._need(far)
+            self._need(upstream)
         for out in line.outs.values():
-            key = far.name, out.ask.viewing
+            key = upstream.name, out.ask.viewing
             if self.outs.get(key) is not out:
                 continue
             del self.outs[key]
-            log.info("connection lost under a tune-in", streamer=far.name, cause=line.cause)
+            log.info("connection lost under a tune-in", streamer=upstream.name, cause=line.cause)
             if line.unsent(out.sent):
                 # It never left whole, so nothing ran.
                 self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.UNREACHED)
                 continue
             # It may have run, and may play there to nobody.
-            self._owe(far, messages.down(out.ask.viewing, messages.ENDED))
+            self._owe(upstream, messages.down(out.ask.viewing, messages.ENDED))
             self.given_up[key] = self.clock() + self.late
             self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.BROKEN)
 
-    def _gone(self, far: Far, cause: str) -> None:
+    def _gone(self, upstream: Upstream, cause: str) -> None:
         """A streamer's process is gone, and all that it played with it."""
-        held = self.host.held(far.name)
+        held = self.host.held(upstream.name)
         if held:
-            log.warning("streamer lost", streamer=far.name, viewings=len(held), cause=cause)
-        far.owed.clear()
-        for line in list(far.lines):
+            log.warning("streamer lost", streamer=upstream.name, viewings=len(held), cause=cause)
+        upstream.owed.clear()
+        for line in list(upstream.lines):
             line.close(cause)
         for viewing, number in held:
             self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
@@ -276,8 +276,8 @@
         now = self.clock()
         held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
         tuned = {name for name, _ in self.outs}
-        for far in list(self.fars.values()):
-            for line in evictions(now, far.lines, self.room(), self.idle):
+        for upstream in list(self.upstreams.values()):
+            for line in evictions(now, upstream.lines, self.room(), self.idle):
                 # Not closed at once: a release on its way here would be lost with it, and is never sent again
                 # unless another connection opens.
                 if line.half_closed:
@@ -285,62 +285,62 @@
                 else:
                     line.doubted = now
                     line.half_close()
-            if far.owes(now) and not far.gone:
-                self._need(far)
-            if held[far.name]:
-                self._test_far(far, now)
+            if upstream.owes(now) and not upstream.gone:
+                self._need(upstream)
+            if held[upstream.name]:
+                self._test_upstream(upstream, now)
                 continue
             # A tune-in may still wait for its connection, on no line yet: were its streamer forgotten,
             # the time-out could not call it off, and its viewer would never be answered.
-            if far.gone and far.name not in tuned and not far.connecting:
-                for line in list(far.lines):
+            if upstream.gone and upstream.name not in tuned and not upstream.connecting:
+                for line in list(upstream.lines):
                     line.close()
-                del self.fars[far.name]
-            far.pulse.spoke(now)
-            far.told_silent = False
+                del self.upstreams[upstream.name]
+            upstream.pulse.spoke(now)
+            upstream.told_silent = False
         self.given_up = {key: until for key, until in self.given_up.items() if until > now}
         self.released = {key: end for key, end in self.released.items() if end[1] > now}
         for ref in [ref for ref, (_, at) in self.probes.items() if now - at > 0.5]:
             streamer, at = self.probes.pop(ref)
             self.host.probed(now, streamer, Ending.TIMED_OUT, now - at, None)
 
-    def _test_far(self, far: Far, now: float) -> None:
-        if not far.lines and far.gone:
+    def _test_upstream(self, upstream: Upstream, now: float) -> None:
+        if not upstream.lines and upstream.gone:
             # Gone from the list and its connections broken: whoever listens there next is another.
-            self._gone(far, "gone")
-        elif not far.lines:
-            self._need(far)
-        elif far.pulse.test(now):
-            self._say(far, messages.hb(self._test()))
-        word = far.pulse.word(now)
+            self._gone(upstream, "gone")
+        elif not upstream.lines:
+            self._need(upstream)
+        elif upstream.pulse.test(now):
+            self._say(upstream, messages.hb(self._test()))
+        word = upstream.pulse.word(now)
         if word is Word.LOST:
-            held = self.host.held(far.name)
-            self._gone(far, "silent")
+            held = self.host.held(upstream.name)
+            self._gone(upstream, "silent")
             # If it lives after all, only cut off from here, it is to let go of what nobody here knows.
             for viewing, _ in held:
-                self._owe(far, messages.down(viewing, messages.ENDED))
-            far.pulse.spoke(now)
-        elif word is Word.SILENT and not far.told_silent:
-            far.told_silent = True
-            self.host.share_told(now, far.name, 0.0)
+                self._owe(upstream, messages.down(viewing, messages.ENDED))
+            upstream.pulse.spoke(now)
+        elif word is Word.SILENT and not upstream.told_silent:
+            upstream.told_silent = True
+            self.host.share_told(now, upstream.name, 0.0)
 
     # What streamers say.
 
     def _heard(self, line: Line, data: bytes) -> None:
-        far = line.far
+        upstream = line.upstream
         try:
             m = messages.read(data)
             now = self.clock()
             line.spoke, line.doubted = now, line.doubted if line.half_closed else None
-            far.pulse.spoke(now)
-            far.told_silent = False
+            upstream.pulse.spoke(now)
+            upstream.told_silent = False
             match m.t:
                 case "up":
-                    self._started(far, line, m)
+                    self._started(upstream, line, m)
                 case "down":
-                    self._ended(far, line, m)
+                    self._ended(upstream, line, m)
                 case "tell":
-                    self._note(far, m)
+                    self._note(upstream, m)
                 case "hb_ok":
                     if probe := self.probes.pop(m.ref, None):
                         how = Ending.PLAYED if m.c else Ending.FAULTY
@@ -351,11 +351,11 @@
                     raise Unreadable(f"unknown message {m.t!r:.20}")
         except (Unreadable, Unfit) as fault:
             # What follows cannot be told apart from noise any more.
-            log.warning("streamer not understood", streamer=far.name, cause=str(fault)[:120])
+            log.warning("streamer not understood", streamer=upstream.name, cause=str(fault)[:120])
             line.close(str(fault))
 
-    def _started(self, far: Far, line: Line, m: Message) -> None:
-        key = far.name, m.ref
+    def _started(self, upstream: Upstream, line: Line, m: Message) -> None:
+        key = upstream.name, m.ref
         if not m.d:
             raise Unfit("an answer without a description")
         self.viewers.look(m.ref)  # whoever asked may have gone: that may lie unread
@@ -364,14 +364,14 @@
             load = messages.load(m)
             del self.outs[key], line.outs[m.ref]
             self.viewers.answered(m.ref, m.d)
-            if not self.host.started(self.clock(), m.ref, out.number, far.name, load):
-                log.info("late answer", streamer=far.name, viewing=m.ref)
+            if not self.host.started(self.clock(), m.ref, out.number, upstream.name, load):
+                log.info("late answer", streamer=upstream.name, viewing=m.ref)
         elif self.given_up.pop(key, None):
             # It plays there to nobody.
             line.send(messages.down(m.ref, messages.ENDED))
 
-    def _ended(self, far: Far, line: Line, m: Message) -> None:
-        key = far.name, m.ref
+    def _ended(self, upstream: Upstream, line: Line, m: Message) -> None:
+        key = upstream.name, m.ref
         load = messages.load(m)
         if (out := self.outs.get(key)) is not None:
             if out.line is line:
@@ -380,7 +380,7 @@
                 self.host.ended(self.clock(), m.ref, out.number, how, load)
             return
         life, how = self.host.lives.get(m.ref), messages.AFTER.get(m.c, Ending.BROKEN)
-        if life is None or life.streamer != far.name:
+        if life is None or life.streamer != upstream.name:
             if key not in self.given_up:
                 self.released[key] = how, self.clock() + messages.OWED
         elif life.state is State.PLAYING:
@@ -389,12 +389,12 @@
         elif life.state is State.CLOSING:
             self.host.torn_down(self.clock(), m.ref, life.number)
 
-    def _note(self, far: Far, m: Message) -> None:
+    def _note(self, upstream: Upstream, m: Message) -> None:
         name, value = messages.note(m)
         now = self.clock()
         if name == "served":
-            self.host.share_told(now, far.name, value)
+            self.host.share_told(now, upstream.name, value)
         elif name == "at_rung":
             self.host.rung_told(now, m.ref, int(value))
         else:
-            self.host.load_told(now, far.name, name == "rack_use", m.ref, value)
+            self.host.load_told(now, upstream.name, name == "rack_use", m.ref, value)
--- a/herongap/node/far.py
+++ b/herongap/node/upstream.py
@@ -49,12 +49,12 @@
     `doubted` is since when it may be dead, as a set-up on it had no answer; None once it has spoken again.
     """
 
-    def __init__(self, sock, far: "Far", heard: Callable, lost: Callable, now: float):
-        self.far, self.outs, self.spoke, self.doubted = far, {}, now, None
-        super().__init__(sock, far.name, heard, lost)
+    def __init__(self, sock, upstream: "Upstream", heard: Callable, lost: Callable, now: float):
+        self.upstream, self.outs, self.spoke, self.doubted = upstream, {}, now, None
+        super().__init__(sock, upstream.name, heard, lost)
 
 
-class Far:
+class Upstream:
     """One streamer as its sockets show it."""
 
     def __init__(self, name: str, address: Address, now: float):
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -245,15 +245,15 @@
 def test_what_may_play_to_nobody_is_released_though_its_streamer_cannot_be_reached_at_once(world):
     w = world(streamers=2)
     door = Door()
-    for far in w.node.port.fars.values():
-        far.address = door.address
+    for upstream in w.node.port.upstreams.values():
+        upstream.address = door.address
     client = Plain(w.address)
     ref = w.ask(client)
     peer = door.taken()
     w.until(lambda: peer.of("new", ref))
     door.fill()
     peer.reset()
-    w.until(lambda: any(far.owed for far in w.node.port.fars.values()))
+    w.until(lambda: any(upstream.owed for upstream in w.node.port.upstreams.values()))
     w.until(lambda: client.of("down", ref))  # the other cannot be reached either: 250 ms, as the settings say
     gevent.sleep(0.5)
     door.empty()
@@ -282,11 +282,11 @@
     w.until(lambda: client.of("up", ref))
     streamer.listener.close()
     streamer._greenlet.kill()
-    (far,) = w.node.port.fars.values()
-    (line,) = far.lines
+    (upstream,) = w.node.port.upstreams.values()
+    (line,) = upstream.lines
     line.doubted = w.node.clock() + 60.0  # as after a set-up on it that was taken back
-    w.node.port._need(far)  # something is to be told there
-    w.until(lambda: not far.connecting)
+    w.node.port._need(upstream)  # something is to be told there
+    w.until(lambda: not upstream.connecting)
     heard(w, client)
     assert not client.of("down") and ref in w.node.host.lives
 
@@ -295,12 +295,12 @@
     w = world(streamers=1, **SLOW)
     ((name, _),) = w.streamers.items()
     old, new = Door(), Door()
-    far = w.node.port.fars[name]
-    far.address = old.address
+    upstream = w.node.port.upstreams[name]
+    upstream.address = old.address
     old.fill()
     client = Plain(w.address)
     ref = w.ask(client, left="30000")
-    w.until(lambda: far.connecting)
+    w.until(lambda: upstream.connecting)
     w.node.port.listed({name: new.address})
     old.empty()
     peer = old.taken()
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -40,9 +40,9 @@
 
 def connected(w):
     """Connections stand everywhere, so that an attempt could leave at once."""
-    for far in w.node.port.fars.values():
-        w.node.port._need(far)
-    w.until(lambda: all(far.lines for far in w.node.port.fars.values()))
+    for upstream in w.node.port.upstreams.values():
+        w.node.port._need(upstream)
+    w.until(lambda: all(upstream.lines for upstream in w.node.port.upstreams.values()))
 
 
 def busy(held):
@@ -111,11 +111,11 @@
     w = world(streamers=1, **SLOW)
     door = Door()
     (name,) = w.streamers
-    w.node.port.fars[name].address = door.address
+    w.node.port.upstreams[name].address = door.address
     door.fill()
     client = Plain(w.address)
     ref = w.ask(client, left="30000")
-    w.until(lambda: w.node.port.fars[name].connecting)
+    w.until(lambda: w.node.port.upstreams[name].connecting)
     door.empty()
     if first:
         goes(client, ref, how)
@@ -158,15 +158,15 @@
     w = world(streamers=1, **SLOW)
     door = Door(small=True)
     (name,) = w.streamers
-    far = w.node.port.fars[name]
-    far.address = door.address
+    upstream = w.node.port.upstreams[name]
+    upstream.address = door.address
     client = Plain(w.address)
     first = w.ask(client, left="30000")
     peer = door.taken()
     w.until(lambda: peer.of("new", first))
     peer.say(t="up", ref=first, d="plays")
     w.until(lambda: client.of("up", first))
-    (line,) = far.lines
+    (line,) = upstream.lines
     line.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
     ref = w.ask(client, left="30000", d="x" * 15800)
     w.until(lambda: line.behind)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -125,8 +125,8 @@
     v = w.viewer()
     ref = w.ask(v)
     w.until(lambda: v.of("up", ref))
-    far = w.node.port.fars["s-00000000"]
-    far.pulse.heard -= 60.0  # nothing was heard for a minute
+    upstream = w.node.port.upstreams["s-00000000"]
+    upstream.pulse.heard -= 60.0  # nothing was heard for a minute
     w.until(lambda: v.of("down", ref), seconds=1.0)
     assert v.of("down", ref)[0]["c"] == 41
 
@@ -402,7 +402,7 @@
     port = w.node.port
     (name,) = w.streamers
 
-    def hangs(far, time_out):
+    def hangs(upstream, time_out):
         gevent.sleep(time_out)
         raise TimeoutError("timed out")
 
@@ -413,12 +413,12 @@
     w.streamers.clear()
     w.resolver.serial = 2
     w.node.resolver.nudge.set()
-    w.until(lambda: port.fars[name].gone)
+    w.until(lambda: port.upstreams[name].gone)
     port.tend()
-    assert name in port.fars  # its tune-in is on no line yet, and has to be called off
+    assert name in port.upstreams  # its tune-in is on no line yet, and has to be called off
     w.until(lambda: v.of("down", ref))
     port.tend()
-    assert name not in port.fars
+    assert name not in port.upstreams
 
 
 def test_the_timer_goes_on_after_a_fault_of_ours(world, monkeypatch):
