--- a/herongap/limiter.py
+++ b/herongap/limiter.py
@@ -18,10 +18,10 @@
     """The connections to one streamer that are to be closed; `room` tells whether descriptors are left,
     `idle` for how many seconds one may be still before its streamer might close it under a set-up.
 
-    A connection has `outs`, the set-ups that it carries, `spoke`, when its streamer last said something on
-    it, and `doubted`, since when it may be dead, or None.
+    A connection has `attempts`, the set-ups that it carries, `spoke`, when its streamer last said something
+    on it, and `doubted`, since when it may be dead, or None.
     """
-    free = sorted((line for line in lines if not line.outs), key=lambda line: line.spoke)
+    free = sorted((line for line in lines if not line.attempts), key=lambda line: line.spoke)
     beyond = free[: max(0, len(free) - SPARE)]
     stale = STALE * idle if room else 0.0
     return [
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -17,7 +17,7 @@
 from herongap.host.pulse import Word
 from herongap.interface import Asked, Ending, Load
 from herongap.limiter import evictions
-from herongap.node.upstream import Address, Line, Out, Upstream, dial, unreached
+from herongap.node.upstream import Address, Attempt, Line, Upstream, dial, unreached
 from herongap.platform import messages
 from herongap.platform.launch import Launch
 from herongap.platform.messages import Message, Unfit, Unreadable
@@ -39,7 +39,7 @@
         self.host: Host | None = None
         self.viewers = None
         self.upstreams: dict[str, Upstream] = {}
-        self.outs: dict[tuple[str, str], Out] = {}
+        self.attempts: dict[tuple[str, str], Attempt] = {}
         self.given_up: dict[tuple[str, str], float] = {}
         # Ends of viewings that nobody has handed over yet: a release may come before the set-up with `at`.
         self.released: dict[tuple[str, str], tuple[Ending, float]] = {}
@@ -74,9 +74,9 @@
     # The port.
 
     def tune_in(self, ask: Asked, number: int, streamer: str, rung: int, time_out: float) -> None:
-        out = self.outs[streamer, ask.viewing] = Out(ask, number, rung, self.clock() + time_out)
+        attempt = self.attempts[streamer, ask.viewing] = Attempt(ask, number, rung, self.clock() + time_out)
         # Not from within the host's call: all that the system has told by now is heard first.
-        gevent.spawn(self._leave, self.upstreams[streamer], out)
+        gevent.spawn(self._leave, self.upstreams[streamer], attempt)
 
     def lines(self) -> list[Line]:
         """All connections to streamers."""
@@ -91,8 +91,8 @@
         return self.released.pop((streamer, viewing), (None,))[0]
 
     def call_off(self, viewing: str, number: int, streamer: str) -> None:
-        if out := self.outs.pop((streamer, viewing), None):
-            self._take_back(self.upstreams[streamer], out)
+        if attempt := self.attempts.pop((streamer, viewing), None):
+            self._take_back(self.upstreams[streamer], attempt)
 
     def set_rung(self, viewing: str, number: int, streamer: str, rung: int) -> None:
         self._say(self.upstreams[streamer], messages.step(viewing, rung))
@@ -149,50 +149,50 @@
         upstream.pay(line, self.clock())
         return line
 
-    def _leave(self, upstream: Upstream, out: Out) -> None:
+    def _leave(self, upstream: Upstream, attempt: Attempt) -> None:
         """Send a tune-in on its way, on a connection that may have to come up first."""
-        key, fresh = (upstream.name, out.ask.viewing), None
-        while self._stays(upstream, out):
+        key, fresh = (upstream.name, attempt.ask.viewing), None
+        while self._stays(upstream, attempt):
             line = fresh or upstream.sound(self.room(), self.clock(), self.idle)
             if line and not line.closed:
-                self._send(line, out)
+                self._send(line, attempt)
                 return
             if not fresh and upstream.connecting and not self.room():
                 # Descriptors are short: one that is only coming up for another set-up will do.
-                upstream.settle(out.until - self.clock())
+                upstream.settle(attempt.until - self.clock())
                 continue
             try:
                 if fresh:
                     raise ConnectionAbortedError("closed as soon as it was up")
-                fresh = self._open(upstream, max(0.01, min(self.connect, out.until - self.clock())))
+                fresh = self._open(upstream, max(0.01, min(self.connect, attempt.until - self.clock())))
             except OSError as fault:
-                if self.outs.get(key) is out:
-                    del self.outs[key]
+                if self.attempts.get(key) is attempt:
+                    del self.attempts[key]
                     log.info("streamer not reached", streamer=upstream.name, cause=str(fault))
-                    self.host.ended(self.clock(), out.ask.viewing, out.number, *unreached(fault))
+                    self.host.ended(self.clock(), attempt.ask.viewing, attempt.number, *unreached(fault))
                 return
 
-    def _stays(self, upstream: Upstream, out: Out) -> bool:
+    def _stays(self, upstream: Upstream, attempt: Attempt) -> bool:
         """Whether a tune-in may still leave, here and now: nothing runs between this and its sending."""
-        viewing, key = out.ask.viewing, (upstream.name, out.ask.viewing)
+        viewing, key = attempt.ask.viewing, (upstream.name, attempt.ask.viewing)
         # What is due comes first, also in a process that is late; and whoever asked may have gone meanwhile.
         self.host.woke(self.clock())
-        while self.outs.get(key) is out and not self.viewers.look(viewing):
+        while self.attempts.get(key) is attempt and not self.viewers.look(viewing):
             gevent.sleep(0)
-        if self.outs.get(key) is not out:
+        if self.attempts.get(key) is not attempt:
             return False
-        if self.host.sendable(viewing, out.number, self.clock()):
+        if self.host.sendable(viewing, attempt.number, self.clock()):
             return True
         # Its drain was heard meanwhile: it never left, and the streamer is sound.
-        del self.outs[key]
-        self.host.ended(self.clock(), viewing, out.number, Ending.FULL, Load())
+        del self.attempts[key]
+        self.host.ended(self.clock(), viewing, attempt.number, Ending.FULL, Load())
         return False
 
-    def _send(self, line: Line, out: Out) -> None:
-        out.line, line.outs[out.ask.viewing] = line, out
-        offer = self.viewers.description(out.ask.viewing)
-        out.sent = messages.set_up(out.ask, out.rung, out.until - self.clock(), offer)
-        line.send(out.sent)  # what becomes of one that cannot be written its line's end tells the host
+    def _send(self, line: Line, attempt: Attempt) -> None:
+        attempt.line, line.attempts[attempt.ask.viewing] = line, attempt
+        offer = self.viewers.description(attempt.ask.viewing)
+        attempt.sent = messages.set_up(attempt.ask, attempt.rung, attempt.until - self.clock(), offer)
+        line.send(attempt.sent)  # what becomes of one that cannot be written its line's end tells the host
 
     def _say(self, upstream: Upstream, message: bytes) -> None:
         """Something that concerns no set-up that is out: on any connection, else on the next."""
@@ -220,15 +220,15 @@
         except OSError as fault:
             log.debug("streamer not reached", streamer=upstream.name, cause=str(fault))
 
-    def _take_back(self, upstream: Upstream, out: Out) -> None:
-        if not (line := out.line) or not line.outs.pop(out.ask.viewing, None) or line.withdraw(out.sent):
+    def _take_back(self, upstream: Upstream, attempt: Attempt) -> None:
+        line = attempt.line
+        if not line or not line.attempts.pop(attempt.ask.viewing, None) or line.withdraw(attempt.sent):
             return  # nothing of it has left
-        if line.unsent(out.sent) and not line.outs:
-            # A part of it waits in our own buffer: cut off it is no set-up, sent whole it would be one.
-            line.close("taken back before it had left")
+        if line.unsent(attempt.sent) and not line.attempts:
+            line.close("taken back before it had left whole")  # sent whole it would be a set-up
             return
-        self.given_up[upstream.name, out.ask.viewing] = self.clock() + self.late
-        release = messages.down(out.ask.viewing, messages.ENDED)
+        self.given_up[upstream.name, attempt.ask.viewing] = self.clock() + self.late
+        release = messages.down(attempt.ask.viewing, messages.ENDED)
         if not line.send(release):
             self._owe(upstream, release)
         elif line.doubted is None:
@@ -245,20 +245,20 @@
         if not line.half_closed and not upstream.gone and self.host.held(upstream.name):
             # A release may have been lost with it; its streamer sends that again on the next that opens.
             self._need(upstream)
-        for out in line.outs.values():
-            key = upstream.name, out.ask.viewing
-            if self.outs.get(key) is not out:
+        for attempt in line.attempts.values():
+            key = upstream.name, attempt.ask.viewing
+            if self.attempts.get(key) is not attempt:
                 continue
-            del self.outs[key]
+            del self.attempts[key]
             log.info("connection lost under a tune-in", streamer=upstream.name, cause=line.cause)
-            if line.unsent(out.sent):
+            if line.unsent(attempt.sent):
                 # It never left whole, so nothing ran.
-                self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.UNREACHED)
+                self.host.ended(self.clock(), attempt.ask.viewing, attempt.number, Ending.UNREACHED)
                 continue
             # It may have run, and may play there to nobody.
-            self._owe(upstream, messages.down(out.ask.viewing, messages.ENDED))
+            self._owe(upstream, messages.down(attempt.ask.viewing, messages.ENDED))
             self.given_up[key] = self.clock() + self.late
-            self.host.ended(self.clock(), out.ask.viewing, out.number, Ending.BROKEN)
+            self.host.ended(self.clock(), attempt.ask.viewing, attempt.number, Ending.BROKEN)
 
     def _gone(self, upstream: Upstream, cause: str) -> None:
         """A streamer's process is gone, and all that it played with it."""
@@ -275,7 +275,7 @@
         """Once in a short while: are the streamers that play for us still there?"""
         now = self.clock()
         held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
-        tuned = {name for name, _ in self.outs}
+        tuned = {name for name, _ in self.attempts}
         for upstream in list(self.upstreams.values()):
             for line in evictions(now, upstream.lines, self.room(), self.idle):
                 # Not closed at once: a release on its way here would be lost with it, and is never sent again
@@ -359,12 +359,12 @@
         if not m.d:
             raise Unfit("an answer without a description")
         self.viewers.look(m.ref)  # whoever asked may have gone: that may lie unread
-        out = self.outs.get(key)
-        if out is not None and out.line is line:
+        attempt = self.attempts.get(key)
+        if attempt is not None and attempt.line is line:
             load = messages.load(m)
-            del self.outs[key], line.outs[m.ref]
+            del self.attempts[key], line.attempts[m.ref]
             self.viewers.answered(m.ref, m.d)
-            if not self.host.started(self.clock(), m.ref, out.number, upstream.name, load):
+            if not self.host.started(self.clock(), m.ref, attempt.number, upstream.name, load):
                 log.info("late answer", streamer=upstream.name, viewing=m.ref)
         elif self.given_up.pop(key, None):
             # It plays there to nobody.
@@ -373,11 +373,11 @@
     def _ended(self, upstream: Upstream, line: Line, m: Message) -> None:
         key = upstream.name, m.ref
         load = messages.load(m)
-        if (out := self.outs.get(key)) is not None:
-            if out.line is line:
-                del self.outs[key], line.outs[m.ref]
+        if (attempt := self.attempts.get(key)) is not None:
+            if attempt.line is line:
+                del self.attempts[key], line.attempts[m.ref]
                 how = messages.BEFORE.get(m.c, Ending.BROKEN)
-                self.host.ended(self.clock(), m.ref, out.number, how, load)
+                self.host.ended(self.clock(), m.ref, attempt.number, how, load)
             return
         life, how = self.host.lives.get(m.ref), messages.AFTER.get(m.c, Ending.BROKEN)
         if life is None or life.streamer != upstream.name:
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -33,7 +33,7 @@
     return (Ending.FULL, Load()) if fault.errno in OURS else (Ending.UNREACHED, None)
 
 
-class Out:
+class Attempt:
     """A tune-in that is out: on its line, as the message `sent`, or waiting for one."""
 
     __slots__ = ("ask", "number", "rung", "until", "line", "sent")
@@ -50,7 +50,7 @@
     """
 
     def __init__(self, sock, upstream: "Upstream", heard: Callable, lost: Callable, now: float):
-        self.upstream, self.outs, self.spoke, self.doubted = upstream, {}, now, None
+        self.upstream, self.attempts, self.spoke, self.doubted = upstream, {}, now, None
         super().__init__(sock, upstream.name, heard, lost)
 
 
@@ -84,8 +84,8 @@
         that its streamer has left unread, still for under `idle` seconds; `free` of set-ups where wanted.
         """
         for line in sorted(self.lines, key=lambda line: -line.spoke):
-            usable = not (line.half_closed or line.behind or (free and line.outs)) and now - line.spoke < idle
-            if usable and line.doubted is None:
+            busy = line.half_closed or line.behind or (free and line.attempts)
+            if not busy and now - line.spoke < idle and line.doubted is None:
                 if line.stands():
                     return line
                 line.doubted = now
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -69,12 +69,12 @@
     assert list(limiter.overdue(60.0 + MUTE + 0.1, nobody, half)) == ["a"]
 
 
-def line(spoke, doubted=None, outs=()):
-    return SimpleNamespace(spoke=spoke, doubted=doubted, outs=outs)
+def line(spoke, doubted=None, attempts=()):
+    return SimpleNamespace(spoke=spoke, doubted=doubted, attempts=attempts)
 
 
 def test_two_idle_connections_to_a_streamer_are_kept_and_doubted_ones_are_not():
-    busy, old, mid, new = line(0.0, outs=("a",)), line(0.0), line(1.0), line(2.0)
+    busy, old, mid, new = line(0.0, attempts=("a",)), line(0.0), line(1.0), line(2.0)
     stale = STALE * 30.0
     assert evictions(1.0 + stale, [busy, new, old, mid], True, 30.0) == [old]
     assert evictions(2.5, [busy, new, old, mid], True, 30.0) == []
@@ -84,7 +84,7 @@
 
 
 def test_no_connection_is_kept_that_its_streamer_may_close_under_a_set_up():
-    busy, old, new = line(0.0, outs=("a",)), line(0.0), line(1.0)
+    busy, old, new = line(0.0, attempts=("a",)), line(0.0), line(1.0)
     assert evictions(29.9, [busy, old, new], True, 30.0) == []
     assert evictions(30.5, [busy, old, new], True, 30.0) == [old]
     assert evictions(2.5, [busy, old, new], True, 2.0) == [old], "as the settings say, however short"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -409,7 +409,7 @@
     port._open = hangs
     v = w.viewer()
     ref = w.ask(v)
-    w.until(lambda: port.outs)
+    w.until(lambda: port.attempts)
     w.streamers.clear()
     w.resolver.serial = 2
     w.node.resolver.nudge.set()
