Rename: Held is Session; what breaks with one attempt may take others back

The standard term, no behaviour changed by it. Beside it: Streamers._lost walked over a connection's attempts while what came of one could take others off it (a shared connection; by reading, no play showed it).

--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -245,7 +245,7 @@
         if not line.half_closed and not upstream.gone and self.host.held(upstream.name):
             # A release may have been lost with it; its streamer sends that again on the next that opens.
             self._need(upstream)
-        for attempt in line.attempts.values():
+        for attempt in list(line.attempts.values()):  # what comes of one may take others back
             key = upstream.name, attempt.ask.viewing
             if self.attempts.get(key) is not attempt:
                 continue
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -17,7 +17,7 @@
 log = structlog.get_logger()
 
 
-class Held:
+class Session:
     """A viewing as its viewer's side has it: its connection, and what it offers until it plays."""
 
     __slots__ = ("conn", "offer", "reply", "answered", "mine")  # `reply`, once answered: until it has left
@@ -32,7 +32,7 @@
 
     def __init__(self, launch: Launch, host: Host, limiter: ConnectionLimiter, clock: Callable[[], float]):
         self.launch, self.host, self.limiter, self.clock = launch, host, limiter, clock
-        self.held: dict[str, Held] = {}
+        self.sessions: dict[str, Session] = {}
         self.owed: dict[str, tuple[bytes, float]] = {}
         self.ended: dict[str, float] = {}  # releases of what is not held: its set-up with `at` may come later
         # Connections that are let go, and until when their peers may close them first.
@@ -72,8 +72,8 @@
 
     def pending(self) -> tuple[int, int, int]:
         """How many set-ups wait for an answer, connections hold something unread or unsent, viewings play."""
-        waiting = sum(not held.answered for held in self.held.values())
-        return waiting, sum(not conn.quiet() for conn in self.connections), len(self.held) - waiting
+        waiting = sum(not session.answered for session in self.sessions.values())
+        return waiting, sum(not conn.quiet() for conn in self.connections), len(self.sessions) - waiting
 
     def stop(self) -> None:
         """Take no more connections than the system has taken for us; set-ups are refused at once from now."""
@@ -111,8 +111,8 @@
 
     def look(self, ref: str) -> bool:
         """Hear what lies unread of whoever asked for a viewing that is set up; whether that was all of it."""
-        held = self.held.get(ref)
-        return held is None or held.conn is None or held.conn.look()
+        session = self.sessions.get(ref)
+        return session is None or session.conn is None or session.conn.look()
 
     # What viewers say.
 
@@ -140,7 +140,8 @@
         self._let_go(conn)
 
     def _let_go(self, conn: Connection) -> None:
-        if conn.half_closed or any(held.conn is conn and not held.answered for held in self.held.values()):
+        open_here = (one for one in self.sessions.values() if one.conn is conn and not one.answered)
+        if conn.half_closed or any(open_here):
             return
         conn.half_close()
         self.leaving[conn] = self.clock() + messages.OWED
@@ -151,18 +152,18 @@
     def _new(self, conn: Connection, m: Message) -> None:
         if not messages.NAMES.fullmatch(m.ref):
             raise Unreadable("a set-up without an id")
-        held = self.held.get(m.ref)
+        session = self.sessions.get(m.ref)
         try:
             ask, at = messages.asked(m, self.launch.terms)
             if at is not None:
                 self._handed(conn, m, ask, at)
                 return
-            if held is not None and not held.answered and held.conn is not conn:
+            if session is not None and not session.answered and session.conn is not conn:
                 # The same again after its connection has gone, which may lie unread.
-                held.conn.look()
-                held = self.held.get(m.ref)
-            if held is not None:
-                if held.conn is conn:
+                session.conn.look()
+                session = self.sessions.get(m.ref)
+            if session is not None:
+                if session.conn is conn:
                     raise Unreadable("an id that is open already")
                 raise Unfit("an id that is open elsewhere")
             if not m.d:
@@ -177,34 +178,34 @@
             return
         now = self.clock()
         self.limiter.took(conn)
-        self.held[m.ref] = Held(conn, m.d)
+        self.sessions[m.ref] = Session(conn, m.d)
         self.host.asked(now, ask._replace(left=max(0.0, ask.left - messages.AHEAD)))
 
     def _handed(self, conn: Connection, m: Message, ask, at: str) -> None:
-        if m.ref in self.held or m.ref in self.host.lives:
+        if m.ref in self.sessions or m.ref in self.host.lives:
             return
         self._sound(conn)
-        held = self.held[m.ref] = Held(conn, "")
-        held.answered = True
+        session = self.sessions[m.ref] = Session(conn, "")
+        session.answered = True
         self.trusted[conn] = None
         floor = next(p.floor for p in self.launch.charter.packages if p.name == ask.package)
         if not self.host.adopted(self.clock(), ask, 0, at, floor):
             self.over(m.ref, Ending.BROKEN)
         elif self.ended.pop(m.ref, None):
             # Its viewer has ended it, on another connection: that came first.
-            held.mine = True
+            session.mine = True
             self.host.left(self.clock(), m.ref)
         elif how := self.host.port.ended(m.ref, at):
             self.host.ended(self.clock(), m.ref, 0, how)
 
     def _down(self, conn: Connection, m: Message) -> None:
         self._sound(conn)
-        if (held := self.held.get(m.ref)) is None:
+        if (session := self.sessions.get(m.ref)) is None:
             self.ended[m.ref[:64]] = self.clock() + messages.OWED
             return
-        if not held.answered and held.conn is not conn:
+        if not session.answered and session.conn is not conn:
             return  # only whoever asked may take it back
-        held.mine = True
+        session.mine = True
         conn.send(messages.ack(m.ref))
         self.host.left(self.clock(), m.ref)
 
@@ -213,12 +214,14 @@
         self.leaving.pop(conn, None)
         self.trusted.pop(conn, None)
         self.limiter.went(conn)
-        for ref, held in [(ref, held) for ref, held in self.held.items() if held.conn is conn]:
-            if held.answered and not (held.reply and conn.unsent(held.reply)):
-                held.conn = None  # a viewing that stands belongs to no connection
-            elif ref in self.held:
+        for ref, session in list(self.sessions.items()):
+            if session.conn is not conn:
+                continue
+            if session.answered and not (session.reply and conn.unsent(session.reply)):
+                session.conn = None  # a viewing that stands belongs to no connection
+            elif ref in self.sessions:
                 # Nobody is left to be answered, or the answer never left whole.
-                held.mine = True
+                session.mine = True
                 self.host.left(self.clock(), ref)
 
         for ref, (at, message, until) in list(self.unheard.items()):
@@ -230,29 +233,29 @@
 
     def description(self, ref: str) -> str:
         """What the viewer offered; "" once it plays."""
-        return self.held[ref].offer
+        return self.sessions[ref].offer
 
     def answered(self, ref: str, description: str) -> None:
         """What a streamer answered, to be passed on if the host takes it."""
-        if held := self.held.get(ref):
-            held.reply = description
+        if session := self.sessions.get(ref):
+            session.reply = description
 
     def answer(self, ref: str, answer: Answer) -> None:
-        held = self.held[ref]
-        conn = held.conn
+        session = self.sessions[ref]
+        conn = session.conn
         self.limiter.settled(conn)
         if answer.verdict == "plays":
-            up = messages.up(ref, held.reply)
-            held.offer = held.reply = ""
+            up = messages.up(ref, session.reply)
+            session.offer = session.reply = ""
             # One that has gone hears nothing: its end, told in a moment, then ends the viewing too.
-            held.answered = conn.send(up)
-            if held.answered:
-                held.reply = up if conn.unsent(up) else ""
+            session.answered = conn.send(up)
+            if session.answered:
+                session.reply = up if conn.unsent(up) else ""
                 self.trusted.pop(conn, None)
                 self.trusted[conn] = None
                 self._pay(conn)
         else:
-            del self.held[ref]
+            del self.sessions[ref]
             if answer.verdict == "blocked":
                 conn.send(messages.down(ref, messages.REFUSED, answer.come_back))
             elif answer.verdict == "aborted":
@@ -262,19 +265,19 @@
 
     def moved(self, ref: str) -> None:
         """The host takes a viewing off its streamer; unless its viewer ended it, that one comes again."""
-        held = self.held.get(ref)
-        if held and not held.mine:
-            held.mine = True
-            self._release(ref, held, messages.shift(ref))
+        session = self.sessions.get(ref)
+        if session and not session.mine:
+            session.mine = True
+            self._release(ref, session, messages.shift(ref))
 
     def over(self, ref: str, how: Ending) -> None:
-        held = self.held.pop(ref, None)
-        if held and not held.mine and how is not Ending.CALLED_OFF:
+        session = self.sessions.pop(ref, None)
+        if session and not session.mine and how is not Ending.CALLED_OFF:
             cause = messages.ENDED if how is Ending.PLAYED else messages.CUT
-            self._release(ref, held, messages.down(ref, cause))
+            self._release(ref, session, messages.down(ref, cause))
 
-    def _release(self, ref: str, held: Held, message: bytes) -> None:
-        self._tell(ref, message, held.conn, self.clock() + messages.OWED)
+    def _release(self, ref: str, session: Session, message: bytes) -> None:
+        self._tell(ref, message, session.conn, self.clock() + messages.OWED)
 
     def _tell(self, ref: str, message: bytes, first: Connection | None, until: float) -> None:
         """A release, on the connection that is best for it, kept until it is acknowledged."""
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -181,7 +181,7 @@
     heard(w, one)
     handed(w, two, ref, name)
     w.until(lambda: streamer.heard("down", ref))
-    w.until(lambda: not w.node.host.lives and not w.node.viewers.held)
+    w.until(lambda: not w.node.host.lives and not w.node.viewers.sessions)
     heard(w, two)
     assert not two.of("down") and not two.of("shift"), "it knows"
 
@@ -234,7 +234,7 @@
         w.node.host.woke(w.node.clock())
         if not first:
             peer.sock._sock.sendall(end)
-        w.until(lambda: ref not in w.node.host.lives and ref not in w.node.viewers.held)  # noqa: B023
+        w.until(lambda: ref not in w.node.host.lives and ref not in w.node.viewers.sessions)  # noqa: B023
         heard(w, client, f"b{first}")
         assert len(client.of("shift", ref)) + len(client.of("down", ref)) == 1
 
@@ -320,7 +320,7 @@
     streamer.does = busy(held)
     clients = [Plain(w.address) for _ in range(22)]
     refs = [w.ask(client) for client in clients]
-    w.until(lambda: len(w.node.viewers.held) == 22)
+    w.until(lambda: len(w.node.viewers.sessions) == 22)
     more = [Plain(w.address) for _ in range(60)]
     for client in more:
         w.until(client.gone)
@@ -328,7 +328,7 @@
     w.until(lambda: len(w.node.viewers.connections) == 22)
     made = [o for o in gc.get_objects() if type(o) is Connection and o._lost.__self__ is w.node.viewers]
     assert sum(conn.sock.fileno() >= 0 for conn in made) == 22
-    assert set(refs) == set(w.node.viewers.held)
+    assert set(refs) == set(w.node.viewers.sessions)
 
 
 def test_with_few_descriptors_set_ups_wait_for_a_connection_that_is_coming_up(world):
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -211,4 +211,4 @@
     w.until(lambda: conn.behind)
     client.close()
     w.until(lambda: streamer.heard("down", ref))
-    w.until(lambda: not w.node.host.lives and not w.node.viewers.held)
+    w.until(lambda: not w.node.host.lives and not w.node.viewers.sessions)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -212,7 +212,7 @@
     assert not bad.of("up") and not any(s.news for s in w.streamers.values())
     ref = w.ask(good)
     w.until(lambda: good.of("up", ref))
-    assert not w.node.viewers.held.keys() - {ref}
+    assert not w.node.viewers.sessions.keys() - {ref}
 
 
 def test_an_id_that_is_open_already_is_refused_and_its_owner_served(world):
