--- a/herongap/host/pulse.py
+++ b/herongap/host/pulse.py
@@ -14,6 +14,9 @@
 # Seconds without a word, and since the last test, until the next. Deployments charge for each: no more than
 # leave a sound one a second to answer before it counts as silent.
 TEST = SILENT / 2
+# The last two where each test is paid for: just often enough to tell of an end within LOST. Where streamers
+# send notes of their own more often than that, none is needed.
+PAID = LOST - 1.5, LOST / 2
 GONE = 1.5  # seconds for which a broken stream may fail to come back
 
 
@@ -26,10 +29,13 @@
 
 
 class Pulse:
-    """The event stream, or the tests, of one streamer; silent for `lost` seconds its viewings are lost."""
+    """The event stream, or the tests, of one streamer; silent for `lost` seconds its viewings are lost, and
+    after `test` seconds it is tested.
+    """
 
-    def __init__(self, now: float, lost: float = LOST):
-        self.heard, self.broken, self.lost, self.tested = now, None, lost, now
+    def __init__(self, now: float, lost: float = LOST, test: float = TEST):
+        self.heard, self.broken, self.lost, self.every, self.tested = now, None, lost, test, now
+        self.silent = max(SILENT, test + 1.0)
 
     def spoke(self, now: float) -> None:
         """Bytes came on the stream."""
@@ -46,11 +52,11 @@
 
     def test(self, now: float) -> bool:
         """Whether it is to be tested now; asked about several times a second."""
-        if due := now - max(self.heard, self.tested) > TEST:
+        if due := now - max(self.heard, self.tested) > self.every:
             self.tested = now
         return due
 
     def word(self, now: float) -> Word:
         """What is to be told now; asked about once a second."""
         quiet = now - self.heard
-        return Word.LOST if quiet >= self.lost else Word.SILENT if quiet >= SILENT else Word.FINE
+        return Word.LOST if quiet >= self.lost else Word.SILENT if quiet >= self.silent else Word.FINE
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -14,7 +14,7 @@
 
 from herongap.daemon.alarm import Alarm
 from herongap.host import Answer, Host, State
-from herongap.host.pulse import Word
+from herongap.host.pulse import PAID, TEST, TESTED, Pulse, Word
 from herongap.interface import Asked, Ending, Load
 from herongap.limiter import evictions
 from herongap.node.upstream import Address, Attempt, Line, Upstream, dial, unreached
@@ -34,8 +34,8 @@
         self.most, self.limit = launch.sockets // 3, launch.sockets // 3 + launch.sockets // 20
         # Connections that have been still for longer may be closed there while a set-up is on its way.
         self.idle = max(launch.idle - launch.connect, launch.idle / 2) or inf
-        # For how long the answer to a tune-in given up is known for what it is.
-        self.late = launch.longest + messages.OWED
+        self.late = launch.longest + messages.OWED  # the answer to what was given up is known for so long
+        self.pulse = PAID if launch.tests_paid else (TESTED, TEST)
         self.host: Host | None = None
         self.viewers = None
         self.upstreams: dict[str, Upstream] = {}
@@ -54,7 +54,7 @@
         now = self.clock()
         for name, address in addresses.items():
             if (upstream := self.upstreams.get(name)) is None:
-                self.upstreams[name] = Upstream(name, address, now)
+                self.upstreams[name] = Upstream(name, address, Pulse(now, *self.pulse))
             elif upstream.address != address:
                 # Its own lines go with it; viewings that it still has are told of on the next.
                 upstream.address = address
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -6,7 +6,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from herongap.host.pulse import TESTED, Pulse
+from herongap.host.pulse import Pulse
 from herongap.interface import Asked, Ending, Load
 from herongap.node.connection import Connection
 
@@ -57,8 +57,8 @@
 class Upstream:
     """One streamer as its sockets show it."""
 
-    def __init__(self, name: str, address: Address, now: float):
-        self.name, self.address, self.pulse = name, address, Pulse(now, TESTED)
+    def __init__(self, name: str, address: Address, pulse: Pulse):
+        self.name, self.address, self.pulse = name, address, pulse
         self.lines: set[Line] = set()
         self.owed: list[tuple[bytes, float]] = []  # messages for the next that opens, and until when
         self.connecting, self.settled = 0, Event()  # set whenever one of those that come up did, or did not
--- a/herongap/platform/launch.py
+++ b/herongap/platform/launch.py
@@ -34,6 +34,7 @@
     connect: float
     idle: float
     longest: float
+    tests_paid: bool
     known: Roster
 
 
@@ -71,6 +72,8 @@
             connect=allowed["ConnectTimeout"] / 1000,
             idle=allowed["ConnIdle"] / 1000,
             longest=max(grade["Deadline"] for grade in settings["Grades"]) / 1000,
+            # Where probes are allowed at all a test counts as one.
+            tests_paid=bool(allowed.get("Probes") and (settings.get("Prices") or {}).get("Probe")),
             known=read_known(told["known"], racks),
         )
     except KeyError as fault:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,7 +14,7 @@
 from herongap.cli import main
 from herongap.daemon.feed import Watched
 from herongap.daemon.session import read_remote
-from herongap.host.pulse import GONE, LOST, SILENT, TESTED, Pulse, Word
+from herongap.host.pulse import GONE, LOST, PAID, SILENT, TESTED, Pulse, Word
 from herongap.http import Reply
 from herongap.ini import Faults, read_catalogue, read_list, read_site
 from herongap.intake import Bounds, Intake
@@ -138,6 +138,21 @@
     assert len(intake.buckets) == intake.PEERS
 
 
+def test_tests_that_are_paid_for_are_few_and_still_tell_of_an_end_in_time():
+    pulse, tested = Pulse(0.0, *PAID), []
+    for quarter in range(1, 4 * 60):
+        now = quarter / 4
+        if now < 40 and quarter % 10 == 0:
+            pulse.spoke(now)  # notes of its own, each 2.5 s: no test is needed
+        if pulse.test(now):
+            tested.append(now)
+        if pulse.word(now) is Word.LOST:
+            break
+    assert len(tested) == 1 and tested[0] > 40
+    assert now - 39.75 <= LOST - 1.0, "it went just after its last note, and its end is told within 8 s"
+    assert pulse.silent < PAID[0] and pulse.word(37.5 + pulse.silent) is Word.SILENT
+
+
 def test_a_streamer_is_tested_no_more_often_than_tells_in_time_that_it_is_silent():
     pulse, tested = Pulse(0.0, TESTED), []
     for quarter in range(1, 4 * 20):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -203,7 +203,7 @@
 
 
 def test_unknown_keys_are_taken_and_optional_ones_may_be_absent():
-    told = configuration()
+    told = json.loads(json.dumps(configuration()))  # its settings are everybody's
     plain = launch.read(json.dumps(told).encode()).charter
     told["settings"] |= {"Novelty": {"of": [1]}, "Prices": {"Probe": 9.0}}
     told["settings"]["Grades"][0]["AimStretch"] = 2.0
@@ -251,5 +251,9 @@
     for via, probes in (("on_probe", True), ("inline", False), ("off", False)):
         told = SETTINGS | {"Allowed": allowed, "Report": {"Columns": ["x0"], "Via": via}}
         assert charter(told).probes is probes
+    cases = (0.08, allowed, True), (0, allowed, False), (0.08, SETTINGS["Allowed"], False)
+    for probe, allow, paid in cases:
+        told = configuration() | {"settings": SETTINGS | {"Allowed": allow, "Prices": {"Probe": probe}}}
+        assert launch.read(json.dumps(told).encode()).tests_paid is paid
     assert not charter(SETTINGS | {"Allowed": allowed}).probes
     assert not charter(SETTINGS | {"Report": {"Columns": [], "Via": "on_probe"}}).probes
