Connections that were never of use are closed at their first noise, and noisy ones may go for newcomers

By reading, on the mend of unreadable lines: a connection let go gently stays for up to a second, and with more noise unread on it could not be shed, so some hundreds of noisy clients could have kept the door shut. One that has never said anything of use is closed at once, as before that mend; one that is deaf may be shed when nothing is owed there; one that falls silent is closed at once unless something is unsent. Test with 100 noisy connections at 64 descriptors.

--- a/herongap/limiter.py
+++ b/herongap/limiter.py
@@ -86,6 +86,11 @@
         if known := self.known.get(who):
             self.known[who] = known._replace(spoke=now)
 
+    def of_use(self, who: Hashable) -> bool:
+        """Whether it has ever said something that only a viewer's side says."""
+        known = self.known.get(who)
+        return known is not None and known.spoke is not None
+
     def took(self, who: Hashable) -> None:
         """A set-up of its waits for an answer."""
         if known := self.known.get(who):
--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -141,8 +141,8 @@
 
     def quiet(self) -> bool:
         """Whether nothing that its peer sent is still unread, and nothing for it still unsent."""
-        if self.closed:
-            return True
+        if self.closed or self.deaf:
+            return self.closed or not self._unsent
         try:
             return not self._unsent and not self.sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT)
         except OSError:
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -97,8 +97,11 @@
         """Once in a short while: close what says nothing, drop what can no longer be told."""
         now = self.clock()
         for conn in self.limiter.overdue(now, Connection.quiet, lambda conn: conn.lines.begun):
-            conn.deaf, conn.cause = True, "silent"
-            self._let_go(conn)
+            if conn.behind:
+                conn.deaf, conn.cause = True, "silent"
+                self._let_go(conn)
+            else:
+                conn.close("silent")
         for conn, until in list(self.leaving.items()):
             # With all that was owed sent, its peer has a moment to close first, and read what is on its way.
             self.leaving[conn] = until = until if conn.behind else min(until, now + DOUBT)
@@ -137,7 +140,10 @@
         """Nothing that follows there can be made out. What was taken on it has its answer first."""
         log.info("viewer not understood", peer=conn.peer, cause=str(fault)[:120])
         conn.deaf, conn.cause = True, str(fault)
-        self._let_go(conn)
+        if self.limiter.of_use(conn):
+            self._let_go(conn)
+        else:
+            conn.close(str(fault))  # nothing but noise, perhaps by the hundreds: free at once
 
     def _let_go(self, conn: Connection) -> None:
         open_here = (one for one in self.sessions.values() if one.conn is conn and not one.answered)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -9,6 +9,7 @@
 import os
 import resource
 import socket
+from contextlib import suppress
 
 import gevent
 import pytest
@@ -102,11 +103,37 @@
 def test_one_that_is_not_understood_and_does_not_go_is_closed(world):
     w = world()
     client = Plain(w.address)
+    heard(w, client)
     client.raw(b"noise\n")
     w.until(client.gone, 0.5)
     w.until(lambda: not w.node.viewers.connections and not w.node.viewers.leaving, 2.0)
 
 
+def test_noise_by_the_hundreds_keeps_no_descriptors(world):
+    w = world(sockets=64)
+    noisy = [Plain(w.address) for _ in range(100)]
+    for client in noisy:
+        with suppress(OSError):
+            client.raw(b"noise\n" * 100)
+    gevent.sleep(0.1)
+    assert not w.node.viewers.connections, "none of them is waited for"
+    client = Plain(w.address)
+    # And one that was of use before its noise goes for a newcomer, though more of its noise lies unread.
+    old = [Plain(w.address) for _ in range(31)]
+    for one in old:
+        heard(w, one)
+        one.raw(b"noise\n")
+    gevent.sleep(0.05)
+    for one in old:
+        one.raw(b"noise\n" * 100)
+    for _ in range(3):
+        late = Plain(w.address)
+        ref = w.ask(late)
+        w.until(lambda: late.of("up", ref))  # noqa: B023
+    for one in (*noisy, *old, client):
+        one.close()
+
+
 def test_half_a_line_does_not_cost_what_was_taken_before_it(world, monkeypatch):
     monkeypatch.setattr(herongap.limiter, "MUTE", 0.2)
     w = world(**SLOW)
