Tests of bad orders: one home for what both files use

SLOW, busy, a whole set-up's bytes, a line written at once, and an answer behind a full buffer stood twice or were written out by hand.

--- a/tests/plain_peers.py
+++ b/tests/plain_peers.py
@@ -9,6 +9,35 @@
 from contextlib import suppress
 
 from helpers import until
+from node_world import OFFER, SETTINGS
+
+# Nothing is due for long: what happens is the test's to say.
+SLOW = dict(
+    Grades=[{**grade, "Aim": 20000.0, "Deadline": 40000.0} for grade in SETTINGS["Grades"]],
+    Allowed=SETTINGS["Allowed"] | {"ConnectTimeout": 5000.0},
+)
+
+
+def line(**message) -> bytes:
+    """A message as it goes over a connection."""
+    return json.dumps({"f": {}, **message}).encode() + b"\n"
+
+
+def set_up(ref: str) -> bytes:
+    """A whole set-up, to be sent in parts, or with something behind it."""
+    f = {"class": "standard", "left": "30000", "key": "7f3a9c21e0b4d655",
+         "extras": "home:0;copies:3;top:2;viewer:00000000b4d65521"}  # fmt: skip
+    return line(t="new", ref=ref, d=OFFER, f=f)
+
+
+def busy(held: list):
+    """A streamer that keeps what it is asked until the test answers."""
+    return lambda peer, m: held.append((peer, m))
+
+
+def at_once(peer, **message):
+    """What a streamer of the test's says, written at once: no greenlet runs before."""
+    peer.sock._sock.sendall(line(**message))
 
 
 class Plain:
@@ -24,7 +53,7 @@
         self.data, self.ended = b"", False
 
     def say(self, **message):
-        self.raw(json.dumps({"f": {}, **message}).encode() + b"\n")
+        self.raw(line(**message))
 
     def raw(self, data: bytes):
         self.sock.sendall(data)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -5,7 +5,6 @@
 """
 
 import gc
-import json
 import os
 import resource
 import socket
@@ -14,18 +13,14 @@
 import gevent
 import pytest
 from helpers import closing
-from node_world import OFFER, SETTINGS, World
-from plain_peers import Door, Plain
+from node_world import SETTINGS, World
+from plain_peers import SLOW, Door, Plain, at_once, busy, set_up
 
 import herongap.limiter
 from herongap.interface import Standing
 from herongap.node.connection import Connection
 from herongap.platform.lines import MOST
 
-SLOW = dict(
-    Grades=[{**grade, "Aim": 20000.0, "Deadline": 40000.0} for grade in SETTINGS["Grades"]],
-    Allowed=SETTINGS["Allowed"] | {"ConnectTimeout": 5000.0},
-)
 NOISE = {"no message": b"\x00\xff noise\n", "no type": b'{"t":"bogus"}\n', "never ends": b"x" * (MOST + 1)}
 
 
@@ -34,15 +29,18 @@
     yield from closing(World, tmp_path)
 
 
-def busy(held):
-    """A streamer that keeps what it is asked until the test answers."""
-    return lambda peer, m: held.append((peer, m))
-
-
-def small_buffers(w):
-    """What the controller's machine holds for its viewers' connections is next to nothing."""
-    for conn in w.node.viewers.connections:
+def answer_behind(world):
+    """A viewing that plays, whose answer lies for the most part in the controller's own buffer."""
+    w = world(streamers=1, **SLOW)
+    (streamer,) = w.streamers.values()
+    streamer.does = lambda peer, m: peer.say(t="up", ref=m["ref"], d="x" * 9000)
+    client = Plain(w.address, small=True)
+    heard(w, client)
+    for conn in w.node.viewers.connections:  # its machine holds next to nothing for it
         conn.sock._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+    ref = w.ask(client)
+    w.until(lambda: any(conn.behind for conn in w.node.viewers.connections))
+    return w, streamer, client, ref
 
 
 def handed(w, peer, ref, name):
@@ -68,9 +66,7 @@
     client, other = Plain(w.address), Plain(w.address)
     first = w.ask(client)
     w.until(lambda: len(held) == 1)
-    second = json.dumps({"t": "new", "ref": "00000000000000aa", "d": OFFER, "f": {
-        "class": "standard", "left": "30000", "key": "7f3a9c21e0b4d655",
-        "extras": "home:0;copies:3;top:2;viewer:00000000b4d65521"}}).encode() + b"\n"  # fmt: skip
+    second = set_up("00000000000000aa")
     client.raw(second + NOISE[noise])  # in one piece: the set-up came whole, and before it
     w.until(lambda: len(held) == 2)
     gevent.sleep(0.1)
@@ -86,14 +82,7 @@
 
 
 def test_an_answer_still_in_our_own_buffer_goes_out_before_noise_ends_its_connection(world):
-    w = world(streamers=1, **SLOW)
-    (streamer,) = w.streamers.values()
-    streamer.does = lambda peer, m: peer.say(t="up", ref=m["ref"], d="x" * 9000)
-    client = Plain(w.address, small=True)
-    heard(w, client)
-    small_buffers(w)
-    ref = w.ask(client)
-    w.until(lambda: any(conn.behind for conn in w.node.viewers.connections))
+    w, _, client, ref = answer_behind(world)
     client.raw(b"noise\n")
     gevent.sleep(0.1)
     w.until(client.gone, 6.0)  # reads on only now
@@ -155,14 +144,7 @@
 
 
 def test_it_does_not_end_with_an_answer_in_its_own_buffer(world):
-    w = world(streamers=1, **SLOW)
-    (streamer,) = w.streamers.values()
-    streamer.does = lambda peer, m: peer.say(t="up", ref=m["ref"], d="x" * 9000)
-    client = Plain(w.address, small=True)
-    heard(w, client)
-    small_buffers(w)
-    ref = w.ask(client)
-    w.until(lambda: any(conn.behind for conn in w.node.viewers.connections))
+    w, streamer, client, ref = answer_behind(world)
     streamer.peers[0].say(t="down", ref=ref, c=16)
     w.until(lambda: not w.node.host.lives)
     gevent.spawn(w.node.stop)
@@ -254,13 +236,12 @@
         ref = w.ask(client)
         w.until(lambda: client.of("up", ref))  # noqa: B023
         peer = next(p for p in streamer.peers if p.of("new", ref))
-        end = json.dumps({"t": "down", "ref": ref, "f": {}, "c": 16}).encode() + b"\n"
         if first:
-            peer.sock._sock.sendall(end)  # unread as the module moves it
+            at_once(peer, t="down", ref=ref, c=16)  # unread as the module moves it
         w.node.host.module.known.answers.append(("move", ref))
         w.node.host.woke(w.node.clock())
         if not first:
-            peer.sock._sock.sendall(end)
+            at_once(peer, t="down", ref=ref, c=16)
         w.until(lambda: ref not in w.node.host.lives and ref not in w.node.viewers.sessions)  # noqa: B023
         heard(w, client, f"b{first}")
         assert len(client.of("shift", ref)) + len(client.of("down", ref)) == 1
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -4,20 +4,15 @@
 moment at which an attempt could leave: the process was late. The limit is none at all, of 0.1 s.
 """
 
-import json
 import socket
 import time
 
 import gevent
 import pytest
 from helpers import closing
-from node_world import OFFER, SETTINGS, World
-from plain_peers import Door, Plain
+from node_world import SETTINGS, World
+from plain_peers import SLOW, Door, Plain, at_once, busy, set_up
 
-SLOW = dict(
-    Grades=[{**grade, "Aim": 20000.0, "Deadline": 40000.0} for grade in SETTINGS["Grades"]],
-    Allowed=SETTINGS["Allowed"] | {"ConnectTimeout": 5000.0},
-)
 GOES = ["closes", "resets", "cancels"]
 
 
@@ -45,16 +40,6 @@
     w.until(lambda: all(upstream.lines for upstream in w.node.port.upstreams.values()))
 
 
-def busy(held):
-    """A streamer that keeps what it is asked until the test answers."""
-    return lambda peer, m: held.append((peer, m))
-
-
-def refuse(peer, ref):
-    """A streamer's word that it is full, written at once: no greenlet runs before."""
-    peer.sock._sock.sendall(json.dumps({"t": "down", "ref": ref, "f": {}, "c": 34}).encode() + b"\n")
-
-
 @pytest.mark.parametrize("first", [True, False])
 @pytest.mark.parametrize("how", GOES)
 def test_no_further_attempt_for_a_client_whose_leaving_lies_unread(world, how, first):
@@ -68,7 +53,7 @@
     w.until(lambda: held)
     if first:  # whichever of the two a loop of events comes to first
         goes(client, ref, how)
-    refuse(held[0][0], ref)
+    at_once(held[0][0], t="down", ref=ref, c=34)
     if not first:
         goes(client, ref, how)
     w.until(lambda: ref not in w.node.host.lives)
@@ -85,14 +70,12 @@
     ref, other = w.ask(client, left="30000"), w.ask(client, left="30000")
     w.until(lambda: len(held) == 2)
     for peer, m in held:
-        refuse(peer, m["ref"])
+        at_once(peer, t="down", ref=m["ref"], c=34)
     del held[:]
     # On the same connection, all unread as the two are to go on: a new one, the cancellation, half a line.
     third = w.ask(client, left="30000")
     client.say(t="down", ref=ref, c=16)
-    fourth = json.dumps({"t": "new", "ref": "00000000000000ff", "d": OFFER, "f": {
-        "class": "standard", "left": "30000", "key": "7f3a9c21e0b4d655",
-        "extras": "home:0;copies:3;top:2;viewer:00000000b4d65521"}}).encode() + b"\n"  # fmt: skip
+    fourth = set_up("00000000000000ff")
     client.raw(fourth[:100])
     w.until(lambda: len(held) == 2)
     assert {m["ref"] for _, m in held} == {other, third}
@@ -191,7 +174,7 @@
     w.until(lambda: held)
     if first:
         client.close()
-    held[0][0].sock._sock.sendall(json.dumps({"t": "up", "ref": ref, "f": {}, "d": "d"}).encode() + b"\n")
+    at_once(held[0][0], t="up", ref=ref, d="d")
     client.close()
     w.until(lambda: streamer.heard("down", ref))
     assert not w.node.host.lives
