--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -27,7 +27,6 @@
     "tests/test_accord.py": 421,
     "tests/test_budgets.py": 447,
     "tests/test_etcd.py": 728,
-    "tests/test_node.py": 435,
 }
 
 
