One look at unread bytes answers both questions; what is owed is pruned in one place

Connection.stands and quiet peeked each by itself, Upstream.pay pruned what owes prunes, settle returned what nobody reads. Behaviour as it was: 96 tests of the platform's side pass.

--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -130,23 +130,20 @@
 
     def stands(self) -> bool:
         """Whether its peer has not closed it, as far as can be told here and now."""
-        if self.closed:
-            return False
-        try:
-            return bool(self.sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT))
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
+        return not self.closed and self._peek() != b""
 
     def quiet(self) -> bool:
-        """Whether nothing that its peer sent is still unread, and nothing for it still unsent."""
-        if self.closed or self.deaf:
-            return self.closed or not self._unsent
+        """Whether nothing that its peer sent is still to be heard, and nothing for it still unsent."""
+        return self.closed or not (self._unsent or (not self.deaf and self._peek()))
+
+    def _peek(self) -> bytes | None:
+        """A byte that lies unread, None where none does, b"" at its end."""
         try:
-            return not self._unsent and not self.sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT)
+            return self.sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return None
         except OSError:
-            return not self._unsent
+            return b""
 
     def close(self, cause: str = "") -> None:
         """End it now, whatever is unsent. `lost` is called a moment later, never from within this call."""
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -64,15 +64,15 @@
         self.connecting, self.settled = 0, Event()  # set whenever one of those that come up did, or did not
         self.told_silent = self.gone = False
 
-    def settle(self, seconds: float) -> bool:
-        """Wait until one of those that are coming up did, or did not; False where none did in that time."""
+    def settle(self, seconds: float) -> None:
+        """Wait until one of those that are coming up did, or did not, for so long at most."""
         self.settled.clear()
-        return self.settled.wait(max(0.0, seconds))
+        self.settled.wait(max(0.0, seconds))
 
     def pay(self, line: Line, now: float) -> None:
         """Tell on a connection that has just come up what is owed."""
-        owed, self.owed = self.owed, []
-        self.owed = [(message, until) for message, until in owed if until > now and not line.send(message)]
+        if self.owes(now):
+            self.owed = [(message, until) for message, until in self.owed if not line.send(message)]
 
     def owes(self, now: float) -> bool:
         """Whether something is still worth telling."""
