Who was stopped judges no streamer by that time: its viewings were ended for its own silence

The record of the stopped process: room in both wholes (held 7, begun 13), yet every request blocked; first inputs after the stop: share_told 0.0 of all four streamers. Ruled out: the claim (over, as meant), the wholes' room, the cut of the store.

At fault: host/pulse.py, word(): silence was the clock's time since the last byte, and after a stop the look at it comes before what lies unread. Over 2.5 s all streamers were set aside for 4 to 6 s, and over 8 s (on the platform 4 s) all viewings held were ended though they played.

Mend: time between two looks beyond what such a process takes counts for nobody's silence.

--- a/herongap/host/pulse.py
+++ b/herongap/host/pulse.py
@@ -3,7 +3,7 @@
 A stream that breaks may be a hiccup; one that cannot be had again means that the streamer's process is gone,
 and its viewings with it. A stream that stands but stays silent, heartbeats and all, is a streamer that hangs
 or is cut off: it is told to the module as delivering nothing, and after a longer while its viewings count as
-lost.
+lost. Who was stopped, or late, judges nobody by that time: what was said meanwhile lies unread.
 """
 
 from enum import Enum
@@ -18,6 +18,7 @@
 # send notes of their own more often than that, none is needed.
 PAID = LOST - 1.5, LOST / 2
 GONE = 1.5  # seconds for which a broken stream may fail to come back
+ASKED = 1.5  # seconds at most between two questions for a word, of a process that is neither stopped nor late
 
 
 class Word(Enum):
@@ -35,6 +36,7 @@
 
     def __init__(self, now: float, lost: float = LOST, test: float = TEST):
         self.heard, self.broken, self.lost, self.every, self.tested = now, None, lost, test, now
+        self.asked = now
         self.silent = max(SILENT, test + 1.0)
 
     def spoke(self, now: float) -> None:
@@ -58,5 +60,7 @@
 
     def word(self, now: float) -> Word:
         """What is to be told now; asked about once a second."""
-        quiet = now - self.heard
+        if (gap := now - max(self.heard, self.asked)) > ASKED:
+            self.heard += gap  # nobody listened then
+        self.asked, quiet = now, now - self.heard
         return Word.LOST if quiet >= self.lost else Word.SILENT if quiet >= self.silent else Word.FINE
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import time
 
 import gevent
 from helpers import until
@@ -55,7 +56,8 @@
 class World:
     """One front, some streamers, and what they saw."""
 
-    def __init__(self, folder, streamers=3, extra="", make=Controller, titles=None, kind=KIND):
+    def __init__(self, folder, streamers=3, extra="", make=Controller, titles=None, kind=KIND,
+                 clock=time.monotonic):  # fmt: skip
         self.folder, self.saw = folder, []
         self.farm = Farm(kind, Log(lambda line: self.saw.append(json.loads(line))), seed=1)
         self.streamers = [Streamer(self.farm, f"s{i}", "", f"r{i}") for i in range(streamers)]
@@ -66,7 +68,7 @@
         self.catalogue(titles or {"1": names, "2": names[:1]})
         self.relist()
         (folder / "front.ini").write_text(INI + extra)
-        self.daemon = Daemon(read_site(folder / "front.ini"), make)
+        self.daemon = Daemon(read_site(folder / "front.ini"), make, clock)
         self.daemon.start()
         self.seen_by_clients = []
 
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -171,20 +171,20 @@
 class World:
     """One controller with `streamers` streamers, all of them holders of every title."""
 
-    def __init__(self, folder, streamers=3, sockets=256, **settings):
+    def __init__(self, folder, streamers=3, sockets=256, clock=None, **settings):
         self.streamers = {f"s-{i:08x}": FakeStreamer() for i in range(streamers)}
         self.draining, self.started = set(), {}
         self.resolver = FakeResolver(self)
         self.address = free_address()
         self.path = folder / "config.json"
         self.settings, self.sockets = SETTINGS | settings, sockets
-        self.peers = []
+        self.peers, self.clock = [], clock
         self.configure(self.resolver.address)
         self.next = 0
         self.start()
 
     def start(self):
-        self.node = Node(str(self.path))
+        self.node = Node(str(self.path), self.clock)
         self.node.start()
 
     def configure(self, names):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -168,8 +168,10 @@
 
 def test_the_pulse_of_a_streamer():
     pulse = Pulse(0.0)
-    assert pulse.word(SILENT - 0.1) is Word.FINE and pulse.word(SILENT) is Word.SILENT
-    assert pulse.word(LOST) is Word.LOST
+    words = {half / 2: pulse.word(half / 2) for half in range(1, int(2 * LOST) + 1)}
+    assert [at for at, word in words.items() if word is Word.SILENT][0] == SILENT
+    assert [at for at, word in words.items() if word is Word.LOST] == [LOST]
+    assert pulse.word(LOST + 0.1) is Word.LOST, "asked again it says so again"
     pulse.spoke(LOST)
     assert pulse.word(LOST) is Word.FINE
     assert not pulse.broke(10.0, unknown=False) and not pulse.broke(10.0 + GONE - 0.1, unknown=False)
@@ -178,6 +180,18 @@
     assert not pulse.broke(12.0, unknown=False), "a stream that came back starts anew"
 
 
+def test_who_was_stopped_takes_none_of_that_time_for_a_streamers_silence():
+    for silence in (0.0, 1.0, 2.0):  # before the stop
+        pulse = Pulse(0.0)
+        assert all(pulse.word(at) is Word.FINE for at in (0.0, silence / 2, silence))
+        back = 60.0 + silence
+        assert pulse.word(back) is Word.FINE
+        # One that is dead is found out all the same, as late as if the clock had stood still meanwhile.
+        words = {half / 2: pulse.word(back + half / 2) for half in range(1, 20)}
+        assert [at for at, word in words.items() if word is Word.SILENT][0] == SILENT - silence
+        assert [at for at, word in words.items() if word is Word.LOST][0] == LOST - silence
+
+
 def test_a_streamers_links_lead_nowhere_else():
     def remote(location, *links):
         return read_remote(
--- /dev/null
+++ b/tests/test_stopped.py
@@ -0,0 +1,75 @@
+"""A controller that was stopped, or late, for longer than it gives its streamers: what they said meanwhile
+lies unread, and is heard before any of them is judged.
+
+The stop is a leap of the controller's clock between two calls of the test, in which nothing else runs.
+"""
+
+import time
+
+import gevent
+import pytest
+from helpers import closing
+from loopback import World as Front
+from node_world import World as Platform
+from plain_peers import at_once
+
+STOP = 30.0  # seconds: over any time after which a silent streamer's viewings are lost
+
+
+class Clock:
+    """The machine's, and what the process was stopped for so far."""
+
+    def __init__(self, right):
+        self.right, self.stopped = right, 0.0
+
+    def __call__(self) -> float:
+        return self.right() + self.stopped
+
+
+@pytest.fixture
+def platform(tmp_path):
+    yield from closing(Platform, tmp_path)
+
+
+@pytest.fixture
+def front(tmp_path):
+    yield from closing(Front, tmp_path)
+
+
+@pytest.mark.parametrize("said", [True, False])
+def test_a_stopped_controller_of_the_platform_ends_none_of_what_plays(platform, said):
+    clock = Clock(time.time)
+    w = platform(streamers=2, clock=clock)
+    v = w.viewer()
+    refs = []
+    for _ in range(6):
+        refs.append(w.ask(v))
+        w.until(lambda: v.of("up", refs[-1]))
+    assert all(w.node.host.held(name) for name in w.streamers), "something plays at each"
+    clock.stopped += STOP
+    if said:  # its streamers have: that lies unread
+        for s in w.streamers.values():
+            at_once(s.peers[0], t="hb_ok", ref="00", c=1)
+    gevent.sleep(1.0)  # several looks at what is silent
+    assert not v.of("down") and not v.of("shift") and set(refs) == set(w.node.host.lives)
+    known = w.node.host.module.known
+    assert all(st.back < clock() for st in known.streamers.values()), "nobody is set aside for our own stop"
+    again = w.ask(v)
+    w.until(lambda: v.of("up", again), 1.0)
+
+
+def test_a_stopped_front_ends_none_of_what_plays_and_goes_on_placing(front):
+    clock = Clock(time.monotonic)
+    w = front(streamers=2, clock=clock)
+    held = [w.viewer(f"v{i}") for i in range(6)]
+    assert all(v.post(2).status == 201 for v in held)
+    port, known = w.daemon.port, w.daemon.host.module.known
+    w.until(lambda: len(port.followers) == 2 and all(f.pulse.heard for f in port.followers.values()))
+    w.order("silent")  # their event streams stand, and say nothing for now
+    gevent.sleep(1.2)  # until each look at one is a look at its silence
+    clock.stopped += STOP
+    gevent.sleep(1.2)
+    assert len(w.daemon.host.lives) == 6 and w.playing() == 6
+    assert all(st.back < clock() for st in known.streamers.values()), "nobody is set aside for our own stop"
+    w.order("heal")
+    assert w.viewer("b").post(2).status == 201
