A half line whose end lies unread when its time is over is heard, not cut off

Seen by reading, then forced: a client's set-up came in two parts, the second as the process was late. Ruled out: the reader (it would have read it a moment later). At fault: limiter.overdue's second branch, which unlike the first asked nobody whether something lies unread, and viewers.tend, which then closed a connection with a whole set-up in it: a request taken and lost. Mend: half a line is one whose end is not here; Connection.half_line says so. test_ends.py::test_a_line_whose_end_lies_unread...: fails with viewers.py as it was (no answer, closed).

--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -134,7 +134,15 @@
 
     def quiet(self) -> bool:
         """Whether nothing that its peer sent is still to be heard, and nothing for it still unsent."""
-        return self.closed or not (self._unsent or (not self.deaf and self._peek()))
+        return self.closed or not (self._unsent or self.unread())
+
+    def unread(self) -> bool:
+        """Whether something that its peer sent is still to be heard."""
+        return not (self.closed or self.deaf) and bool(self._peek())
+
+    def half_line(self) -> bool:
+        """Whether its peer has begun a line, and nothing that may end it lies unread."""
+        return self.lines.begun and not self.unread()
 
     def _peek(self) -> bytes | None:
         """A byte that lies unread, None where none does, b"" at its end."""
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -96,7 +96,7 @@
     def tend(self) -> None:
         """Once in a short while: close what says nothing, drop what can no longer be told."""
         now = self.clock()
-        for conn in self.limiter.overdue(now, Connection.quiet, lambda conn: conn.lines.begun):
+        for conn in self.limiter.overdue(now, Connection.quiet, Connection.half_line):
             if conn.behind:
                 conn.deaf, conn.cause = True, "silent"
                 self._let_go(conn)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import socket
+import time
 from contextlib import suppress
 
 import gevent
@@ -140,6 +141,21 @@
     assert client.of("up", ref)
 
 
+def test_a_line_whose_end_lies_unread_when_its_time_is_over_is_heard(world, monkeypatch):
+    monkeypatch.setattr(herongap.limiter, "MUTE", 0.2)
+    w = world()
+    client = Plain(w.address)
+    heard(w, client)
+    half = set_up("00000000000000aa")
+    client.raw(half[:100])
+    w.until(lambda: w.node.viewers.limiter.half)
+    client.raw(half[100:])
+    time.sleep(0.3)  # the process is late, and its look comes first
+    w.node.viewers.tend()
+    # Late as it was it may refuse, but the set-up has its answer.
+    w.until(lambda: client.of("up", "00000000000000aa") or client.of("down", "00000000000000aa"))
+
+
 # The end of the process.
 
 
