A release to a streamer that its connection took along is told again until it is answered

Ruled out: that closing abandons it too (a viewing that stands belongs to no connection), and the two seconds after which a teardown counts as confirmed (they free the seat here; at the streamer it plays on to nobody). At fault: streamers._say forgot what it had written, and _lost looked at attempts alone; _owe always made a connection, also where one stood. Mend: Upstream keeps what was released and not answered, by connection; one that its peer ended owes it again, on what stands, else on the next. Connection.broken: whether its peer may not have read the last. tests/test_releases.py, real connections, the release unread as its streamer resets: both fail on the old text (it never came); the second also asks that no connection is made for what another can carry.

--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -26,7 +26,8 @@
     `spoilt(conn, fault)` for a line that is too long to be one; without it the connection ends there.
 
     `heard` may close the connection, or make it `deaf`; the lines that came with it are then dropped. A
-    `half_closed` one is only read to its end.
+    `half_closed` one is only read to its end. One that is `broken` was ended by its peer, which may not have
+    read what it was sent last.
     """
 
     def __init__(
@@ -36,7 +37,7 @@
         self.sock, self.peer, self._heard, self._lost = sock, peer, heard, lost
         self._spoilt = spoilt or (lambda conn, fault: conn.close(str(fault)))
         self.lines, self.closed, self.cause = Lines(), False, ""
-        self.deaf = self.half_closed = self._ended = False
+        self.deaf = self.half_closed = self.broken = self._ended = False
         # Messages that the system has not taken yet, `behind` bytes; of the first it has taken `_sent`.
         self._unsent: deque[bytes] = deque()
         self._sent, self.behind, self._writer = 0, 0, None
@@ -89,6 +90,7 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as fault:
+                self.broken = True
                 self.close(f"not written: {fault}")
                 return
             self.behind -= sent
@@ -195,10 +197,11 @@
 
     def _end(self) -> None:
         """Once, however it ended."""
-        self.closed = True
         if self._ended:
             return
-        self._ended = True
+        # Half closed it had everything, if it closed in its turn; reset, it may have read nothing.
+        self.broken |= not self.closed and not (self.half_closed and not self.cause)
+        self.closed = self._ended = True
         if TRACE:
             log.info("closed", peer=self.peer, cause=self.cause)
         for greenlet in (self._reader, self._writer):
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -16,7 +16,6 @@
 from herongap.host import Answer, Host, State
 from herongap.host.pulse import PAID, TEST, TESTED, Pulse, Word
 from herongap.interface import Asked, Ending, Load
-from herongap.limiter import evictions
 from herongap.node.upstream import Address, Attempt, Line, Upstream, dial, unreached
 from herongap.platform import messages
 from herongap.platform.launch import Launch
@@ -99,7 +98,7 @@
 
     def tear_down(self, viewing: str, number: int, streamer: str, wanted: bool) -> None:
         if upstream := self.upstreams.get(streamer):
-            self._say(upstream, messages.down(viewing, messages.ENDED))
+            self._release(upstream, viewing)
         if wanted:
             self.viewers.moved(viewing)
 
@@ -194,15 +193,16 @@
         attempt.sent = messages.set_up(attempt.ask, attempt.rung, attempt.until - self.clock(), offer)
         line.send(attempt.sent)  # what becomes of one that cannot be written its line's end tells the host
 
-    def _say(self, upstream: Upstream, message: bytes) -> None:
+    def _say(self, upstream: Upstream, message: bytes, line: Line | None = None, release: str = "") -> None:
         """Something that concerns no set-up that is out: on any connection, else on the next."""
-        line = upstream.sound(False, self.clock(), self.idle)
-        if line is None or not line.send(message):
-            self._owe(upstream, message)
+        now = self.clock()
+        upstream.say(line or upstream.sound(False, now, self.idle), message, now + messages.OWED, release)
+        if upstream.owed:
+            self._need(upstream)
 
-    def _owe(self, upstream: Upstream, message: bytes) -> None:
-        upstream.owed.append((message, self.clock() + messages.OWED))
-        self._need(upstream)
+    def _release(self, upstream: Upstream, viewing: str, line: Line | None = None) -> None:
+        """Have a viewing let go there, on `line` if it may still be set up on that."""
+        self._say(upstream, messages.down(viewing, messages.ENDED), line, viewing)
 
     def _need(self, upstream: Upstream) -> None:
         if not upstream.connecting:
@@ -228,10 +228,8 @@
             line.close("taken back before it had left whole")  # sent whole it would be a set-up
             return
         self.given_up[upstream.name, attempt.ask.viewing] = self.clock() + self.late
-        release = messages.down(attempt.ask.viewing, messages.ENDED)
-        if not line.send(release):
-            self._owe(upstream, release)
-        elif line.doubted is None:
+        self._release(upstream, attempt.ask.viewing, line)
+        if line.doubted is None and not line.closed:
             # It bears the next set-up once it has shown that it lives.
             line.doubted = self.clock()
             line.send(messages.hb(self._test()))
@@ -241,8 +239,10 @@
 
     def _lost(self, line: Line) -> None:
         upstream = line.upstream
-        upstream.lines.discard(line)
-        if not line.half_closed and not upstream.gone and self.host.held(upstream.name):
+        upstream.lost(line)
+        if other := upstream.owed and upstream.sound(False, self.clock(), self.idle):
+            upstream.pay(other, self.clock())
+        if not upstream.gone and (upstream.owed or (not line.half_closed and self.host.held(upstream.name))):
             # A release may have been lost with it; its streamer sends that again on the next that opens.
             self._need(upstream)
         for attempt in list(line.attempts.values()):  # what comes of one may take others back
@@ -256,7 +256,7 @@
                 self.host.ended(self.clock(), attempt.ask.viewing, attempt.number, Ending.UNREACHED)
                 continue
             # It may have run, and may play there to nobody.
-            self._owe(upstream, messages.down(attempt.ask.viewing, messages.ENDED))
+            self._release(upstream, attempt.ask.viewing)
             self.given_up[key] = self.clock() + self.late
             self.host.ended(self.clock(), attempt.ask.viewing, attempt.number, Ending.BROKEN)
 
@@ -266,6 +266,7 @@
         if held:
             log.warning("streamer lost", streamer=upstream.name, viewings=len(held), cause=cause)
         upstream.owed.clear()
+        upstream.unheard.clear()
         for line in list(upstream.lines):
             line.close(cause)
         for viewing, number in held:
@@ -277,14 +278,7 @@
         held = Counter(life.streamer for life in self.host.lives.values() if life.state is State.PLAYING)
         tuned = {name for name, _ in self.attempts}
         for upstream in list(self.upstreams.values()):
-            for line in evictions(now, upstream.lines, self.room(), self.idle):
-                # Not closed at once: a release on its way here would be lost with it, and is never sent again
-                # unless another connection opens.
-                if line.half_closed:
-                    line.close("its streamer does not let go")
-                else:
-                    line.doubted = now
-                    line.half_close()
+            upstream.evict(now, self.room(), self.idle)
             if upstream.owes(now) and not upstream.gone:
                 self._need(upstream)
             if held[upstream.name]:
@@ -318,7 +312,7 @@
             self._gone(upstream, "silent")
             # If it lives after all, only cut off from here, it is to let go of what nobody here knows.
             for viewing, _ in held:
-                self._owe(upstream, messages.down(viewing, messages.ENDED))
+                self._release(upstream, viewing)
             upstream.pulse.spoke(now)
         elif word is Word.SILENT and not upstream.told_silent:
             upstream.told_silent = True
@@ -334,6 +328,8 @@
             line.spoke, line.doubted = now, line.doubted if line.half_closed else None
             upstream.pulse.spoke(now)
             upstream.told_silent = False
+            if m.t in ("down", "ack"):
+                upstream.unheard.pop(m.ref, None)
             match m.t:
                 case "up":
                     self._started(upstream, line, m)
@@ -368,7 +364,7 @@
                 log.info("late answer", streamer=upstream.name, viewing=m.ref)
         elif self.given_up.pop(key, None):
             # It plays there to nobody.
-            line.send(messages.down(m.ref, messages.ENDED))
+            self._release(upstream, m.ref, line)
 
     def _ended(self, upstream: Upstream, line: Line, m: Message) -> None:
         key = upstream.name, m.ref
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -8,6 +8,7 @@
 
 from herongap.host.pulse import Pulse
 from herongap.interface import Asked, Ending, Load
+from herongap.limiter import evictions
 from herongap.node.connection import Connection
 
 Address = tuple[str, int]
@@ -60,7 +61,10 @@
     def __init__(self, name: str, address: Address, pulse: Pulse):
         self.name, self.address, self.pulse = name, address, pulse
         self.lines: set[Line] = set()
-        self.owed: list[tuple[bytes, float]] = []  # messages for the next that opens, and until when
+        # For the next that opens: a message, until when, and the viewing that it releases, or "". Of those
+        # that went out, by what they release: on which connection, unless it was answered.
+        self.owed: list[tuple[bytes, float, str]] = []
+        self.unheard: dict[str, tuple[Line, bytes, float]] = {}
         self.connecting, self.settled = 0, Event()  # set whenever one of those that come up did, or did not
         self.told_silent = self.gone = False
 
@@ -69,16 +73,47 @@
         self.settled.clear()
         self.settled.wait(max(0.0, seconds))
 
+    def say(self, line: Line | None, message: bytes, until: float, release: str = "") -> None:
+        """Tell on `line`, or else on the next that opens until `until`. What releases the viewing `release`
+        is told again where its connection breaks before its streamer has answered it.
+        """
+        if line is None or not line.send(message):
+            self.owed.append((message, until, release))
+        elif release:
+            self.unheard[release] = line, message, until
+
     def pay(self, line: Line, now: float) -> None:
         """Tell on a connection that has just come up what is owed."""
         if self.owes(now):
-            self.owed = [(message, until) for message, until in self.owed if not line.send(message)]
+            owed, self.owed = self.owed, []
+            for entry in owed:
+                self.say(line, *entry)
 
     def owes(self, now: float) -> bool:
         """Whether something is still worth telling."""
-        self.owed = [(message, until) for message, until in self.owed if until > now]
+        self.owed = [entry for entry in self.owed if entry[1] > now]
+        self.unheard = {ref: entry for ref, entry in self.unheard.items() if entry[-1] > now}
         return bool(self.owed)
 
+    def lost(self, line: Line) -> None:
+        """A connection has ended: what it may have taken along is owed again."""
+        self.lines.discard(line)
+        for ref, (at, message, until) in list(self.unheard.items()):
+            if at is line and (line.broken or line.unsent(message)):
+                del self.unheard[ref]
+                self.owed.append((message, until, ref))
+
+    def evict(self, now: float, room: bool, idle: float) -> None:
+        """Let go of connections that are not needed, or may be dead."""
+        for line in evictions(now, self.lines, room, idle):
+            # Not closed at once: a release on its way here would be lost with it, and is never sent again
+            # unless another connection opens.
+            if line.half_closed:
+                line.close("its streamer does not let go")
+            else:
+                line.doubted = now
+                line.half_close()
+
     def sound(self, free: bool, now: float, idle: float) -> Line | None:
         """The connection that spoke last of those that stand as far as can be told: not doubted, with nothing
         that its streamer has left unread, still for under `idle` seconds; `free` of set-ups where wanted.
--- /dev/null
+++ b/tests/test_releases.py
@@ -0,0 +1,65 @@
+"""Releases on their way when something ends: to a streamer, and to a viewer's side, on real connections.
+
+A release is owed until it is heard. Each test has the peer that should hear it reset its connection, or take
+none, at the stated step.
+"""
+
+import gevent
+import pytest
+from helpers import closing
+from node_world import World
+from plain_peers import Door, Plain
+
+
+@pytest.fixture
+def world(tmp_path):
+    yield from closing(World, tmp_path)
+
+
+def at_door(world, **more):
+    """A controller whose one streamer is the test's, connection by connection; a viewing that plays there."""
+    w = world(streamers=1, **more)
+    (upstream,) = w.node.port.upstreams.values()
+    door = Door()
+    upstream.address = door.address
+    client = Plain(w.address)
+    ref = w.ask(client)
+    peer = door.taken()
+    w.until(lambda: peer.of("new", ref))
+    peer.say(t="up", ref=ref, d="plays")
+    w.until(lambda: client.of("up", ref))
+    return w, door, client, peer, ref
+
+
+# Towards streamers.
+
+
+def test_a_release_that_its_streamer_reset_unread_is_told_again(world):
+    w, door, client, peer, ref = at_door(world)
+    client.say(t="down", ref=ref, c=16)
+    w.until(lambda: client.of("ack", ref))  # so the release has left, and lies unread at its streamer
+    peer.reset()
+    again = door.taken()
+    w.until(lambda: again.of("down", ref))
+    # Answered it is told no more.
+    again.say(t="down", ref=ref, c=31)
+    w.until(lambda: not w.node.host.lives)
+    again.reset()
+    gevent.sleep(0.6)
+    assert not door.waits()
+    door.close()
+
+
+def test_a_release_goes_on_what_stands_and_is_not_told_again_where_all_was_read(world):
+    w, door, client, peer, ref = at_door(world)
+    w.node.port._need(w.node.port.upstreams["s-00000000"])
+    other = door.taken()
+    w.until(lambda: len(w.node.port.lines()) == 2)
+    client.say(t="down", ref=ref, c=16)
+    w.until(lambda: client.of("ack", ref))
+    w.until(lambda: peer.of("down", ref) or other.of("down", ref))
+    told, spare = (peer, other) if peer.of("down", ref) else (other, peer)
+    told.reset()  # it had read it and has not answered: nobody here can know
+    w.until(lambda: spare.of("down", ref))
+    assert not door.waits(), "no connection is made for what another one can carry"
+    door.close()
