After SIGTERM the process does not end while a streamer is still owed a release

Seen by reading GracefulShutdown.over and what it was told: set-ups that wait, viewers' connections with something unread or unsent, viewings; of streamers nothing. At fault: Node.stop ended with a release that had found no connection (or lay in a connection's own buffer), so that what may have been set up there played to nobody, and nobody was left to say so. Mend: streamers that are owed something count with the viewers' connections, up to the same last moment. Test: a streamer resets under a set-up and takes no connection for 1.2 s; on the old text the process had ended by then.

--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -87,12 +87,16 @@
         # Once more round: what a late process has not accepted yet would be reset with the listener.
         gevent.sleep(0.02)
         self.viewers.stop()
-        while not shutdown.over(self.clock(), *self.viewers.pending()):
+        while not self._over(shutdown):
             gevent.sleep(0.02)
         self.viewers.leave()
         log.info("stopped", left=len(self.host.lives), **self.host.counts)
         self.stopped.set()
 
+    def _over(self, shutdown: GracefulShutdown) -> bool:
+        waiting, unsettled, playing = self.viewers.pending()
+        return shutdown.over(self.clock(), waiting, unsettled + self.port.owing(), playing)
+
     def close(self) -> None:
         """Cut everything at once."""
         self.viewers.stop()
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -81,6 +81,10 @@
         """All connections to streamers."""
         return [line for upstream in self.upstreams.values() for line in upstream.lines]
 
+    def owing(self) -> int:
+        """To how many streamers something is still to be told, or has not left whole."""
+        return sum(one.unsettled(self.clock()) for one in self.upstreams.values())
+
     def room(self, most: int | None = None) -> bool:
         """Whether descriptors are left for a connection of its own to each set-up."""
         return sum(len(one.lines) + one.connecting for one in self.upstreams.values()) < (most or self.most)
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -95,6 +95,10 @@
         self.unheard = {ref: entry for ref, entry in self.unheard.items() if entry[-1] > now}
         return bool(self.owed)
 
+    def unsettled(self, now: float) -> bool:
+        """Whether something is still to be told, or has not left whole."""
+        return not self.gone and (self.owes(now) or any(line.behind for line in self.lines))
+
     def lost(self, line: Line) -> None:
         """A connection has ended: what it may have taken along is owed again."""
         self.lines.discard(line)
--- a/herongap/platform/shutdown.py
+++ b/herongap/platform/shutdown.py
@@ -21,8 +21,10 @@
         """Whether new connections and set-ups are taken as ever; later ones are refused at once."""
         return now < self.listens_until
 
-    def over(self, now: float, unanswered: int, unread: int, playing: int) -> bool:
-        """Whether the process may end: nobody waits, nothing is unread, and what plays has had its time."""
+    def over(self, now: float, unanswered: int, unsettled: int, playing: int) -> bool:
+        """Whether the process may end: nobody waits, what plays has had its time, and of no peer is anything
+        unread, unsent or still to be told (`unsettled`).
+        """
         if self.listens(now):
             return False
-        return now >= self.until or not (unanswered or unread or playing)
+        return now >= self.until or not (unanswered or unsettled or playing)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -8,7 +8,7 @@
 import pytest
 from helpers import closing
 from node_world import World
-from plain_peers import Door, Plain
+from plain_peers import SLOW, Door, Plain
 
 
 @pytest.fixture
@@ -63,3 +63,24 @@
     w.until(lambda: spare.of("down", ref))
     assert not door.waits(), "no connection is made for what another one can carry"
     door.close()
+
+
+def test_the_process_does_not_end_while_a_streamer_is_owed_a_release(world):
+    w, door, client, peer, ref = at_door(world, **SLOW)
+    second = w.ask(client)
+    w.until(lambda: peer.of("new", second))
+    door.fill()
+    peer.say(t="down", ref=ref, c=16)
+    w.until(lambda: client.of("down", ref))
+    peer.reset()  # the other may have been set up, and play to nobody
+    w.until(lambda: w.node.port.upstreams["s-00000000"].owed)
+    client.say(t="down", ref=second, c=16)
+    w.until(lambda: not w.node.viewers.sessions)
+    gevent.spawn(w.node.stop)
+    gevent.sleep(1.2)
+    assert not w.node.stopped.is_set(), "nobody waits and nothing plays, but its streamer has not been told"
+    door.empty()
+    again = door.taken()
+    w.until(lambda: again.of("down", second))
+    w.until(w.node.stopped.is_set, 0.5)
+    door.close()
