A release without a way goes on the next connection that is answered, whatever the answer

Seen by reading: a viewing's connections are reset, then its streamer dies. Its release waits for a connection on which a viewing comes to stand; with no streamer left every set-up is blocked, so none ever does, and after 8 s it is dropped: a viewing lost while clients come and go. At fault: viewers.answer paid what is owed for "plays" alone, and _handed not at all. Mend: connections on which a set-up was answered come after those on which one stood; what is owed is paid at any answer, and at a handing over. Noise and mere tests still earn no trust.

--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -40,7 +40,9 @@
         # Releases on their way: what a connection took along when it broke is told again on another.
         self.unheard: dict[str, tuple[Connection, bytes, float]] = {}
         self.connections: set[Connection] = set()
-        self.trusted: dict[Connection, None] = {}  # on which viewings have stood, the newest last
+        # On which viewings have stood, the newest last; and on which set-ups were answered at all.
+        self.trusted: dict[Connection, None] = {}
+        self.served: dict[Connection, None] = {}
         self.ready = self.shutting_down = False
         self.listener = None
 
@@ -194,6 +196,7 @@
         session = self.sessions[m.ref] = Session(conn, "")
         session.answered = True
         self.trusted[conn] = None
+        self._pay(conn)
         floor = next(p.floor for p in self.launch.charter.packages if p.name == ask.package)
         if not self.host.adopted(self.clock(), ask, 0, at, floor):
             self.over(m.ref, Ending.BROKEN)
@@ -219,6 +222,7 @@
         self.connections.discard(conn)
         self.leaving.pop(conn, None)
         self.trusted.pop(conn, None)
+        self.served.pop(conn, None)
         self.limiter.went(conn)
         for ref, session in list(self.sessions.items()):
             if session.conn is not conn:
@@ -259,13 +263,15 @@
                 session.reply = up if conn.unsent(up) else ""
                 self.trusted.pop(conn, None)
                 self.trusted[conn] = None
-                self._pay(conn)
         else:
             del self.sessions[ref]
             if answer.verdict == "blocked":
                 conn.send(messages.down(ref, messages.REFUSED, answer.come_back))
             elif answer.verdict == "aborted":
                 conn.send(messages.down(ref, messages.FAILED))
+        if not conn.closed:
+            self.served[conn] = None
+            self._pay(conn)
         if conn.deaf:
             self._let_go(conn)
 
@@ -287,7 +293,7 @@
 
     def _tell(self, ref: str, message: bytes, first: Connection | None, until: float) -> None:
         """A release, on the connection that is best for it, kept until it is acknowledged."""
-        for conn in (first, *reversed(self.trusted)):
+        for conn in (first, *reversed(self.trusted), *reversed(self.served)):
             if conn is not None and conn.send(message):
                 self.unheard[ref] = conn, message, until
                 return
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -84,3 +84,45 @@
     w.until(lambda: again.of("down", second))
     w.until(w.node.stopped.is_set, 0.5)
     door.close()
+
+
+# Towards viewers.
+
+
+def test_a_release_without_a_way_goes_on_the_next_connection_that_is_answered_whatever_the_answer(world):
+    w = world(streamers=1)
+    (streamer,) = w.streamers.values()
+    client = Plain(w.address)
+    ref = w.ask(client)
+    w.until(lambda: client.of("up", ref))
+    client.reset()
+    w.until(lambda: not w.node.viewers.connections)
+    streamer.die()
+    w.until(lambda: ref in w.node.viewers.owed)
+    # Nobody is left to play anything: each set-up is blocked, and no viewing will stand here for long.
+    other = Plain(w.address)
+    refused = w.ask(other)
+    w.until(lambda: other.of("down", refused))
+    w.until(lambda: other.of("down", ref), 0.5)
+    assert [m["c"] for m in other.of("down", ref)] == [41]
+
+
+def test_a_release_without_a_way_goes_with_a_viewing_that_is_handed_over(world):
+    w = world(streamers=2)
+    client = Plain(w.address)
+    ref = w.ask(client)
+    w.until(lambda: client.of("up", ref))
+    client.reset()
+    w.until(lambda: not w.node.viewers.connections)
+    (name,) = [name for name, s in w.streamers.items() if s.news]
+    (sound,) = set(w.streamers) - {name}
+    w.streamers[name].die()
+    w.until(lambda: ref in w.node.viewers.owed)
+    other = Plain(w.address)
+    handed(w, other, sound)
+    w.until(lambda: other.of("down", ref), 0.5)
+
+
+def handed(w, peer, name, ref="0123456789abcdef"):
+    w.ask(peer, ref, left="9007199254740991", d="",
+          extras=f"home:0;copies:3;top:2;viewer:00000000b4d65521;at:{name}")  # fmt: skip
