A viewing handed over at a streamer that has left is released, not held for good

Seen by reading: the module remembers a streamer that left for 120 s, the port forgets it at once. A viewing handed over there in between was adopted, tested by nobody, and never ended. At fault: viewers._handed asked the host alone. Test: fails on the old text (held, no release).

--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -198,7 +198,8 @@
         self.trusted[conn] = None
         self._pay(conn)
         floor = next(p.floor for p in self.launch.charter.packages if p.name == ask.package)
-        if not self.host.adopted(self.clock(), ask, 0, at, floor):
+        # One that has left is known to the module for a while yet, and nobody would hear of its end.
+        if at not in self.host.port.upstreams or not self.host.adopted(self.clock(), ask, 0, at, floor):
             self.over(m.ref, Ending.BROKEN)
         elif self.ended.pop(m.ref, None):
             # Its viewer has ended it, on another connection: that came first.
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -126,3 +126,16 @@
 def handed(w, peer, name, ref="0123456789abcdef"):
     w.ask(peer, ref, left="9007199254740991", d="",
           extras=f"home:0;copies:3;top:2;viewer:00000000b4d65521;at:{name}")  # fmt: skip
+
+
+def test_a_viewing_handed_over_at_a_streamer_that_has_left_is_released(world):
+    w = world(streamers=2)
+    name = "s-00000000"
+    w.streamers.pop(name).close()
+    w.resolver.serial += 1
+    w.until(lambda: name not in w.node.port.upstreams)
+    assert name in w.node.host.module.streamers, "the module remembers it yet"
+    client = Plain(w.address)
+    handed(w, client, name)
+    w.until(lambda: client.of("down", "0123456789abcdef"), 1.0)
+    assert not w.node.host.lives and not w.node.viewers.sessions
