Reviewed and found sound: the resolver's answer that a late process finds unread

Guess: its patience over, a process that was late throws an answer away that lies unread, and sends on to what drains by it. Tried by a test with real sockets that forces just that order; it passes on the text as it is, since gevent's time-outs yield to what can be read.

--- a/tests/test_stopped.py
+++ b/tests/test_stopped.py
@@ -4,14 +4,19 @@
 The stop is a leap of the controller's clock between two calls of the test, in which nothing else runs.
 """
 
+import socket
 import time
+from contextlib import suppress
 
 import gevent
 import pytest
 from helpers import closing
 from loopback import World as Front
 from node_world import World as Platform
-from plain_peers import at_once
+from plain_peers import SLOW, Plain, at_once, busy
+
+from herongap.interface import Standing
+from herongap.node.resolver import PATIENCE
 
 STOP = 30.0  # seconds: over any time after which a silent streamer's viewings are lost
 
@@ -73,3 +78,35 @@
     assert all(st.back < clock() for st in known.streamers.values()), "nobody is set aside for our own stop"
     w.order("heal")
     assert w.viewer("b").post(2).status == 201
+
+
+def test_an_answer_of_the_resolver_that_a_late_process_finds_unread_is_taken(platform):
+    w = platform(streamers=2, **SLOW)
+    held = []
+    for s in w.streamers.values():
+        s.does = busy(held)
+    resolver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    resolver.bind(("127.0.0.1", 0))
+    resolver.setblocking(False)
+    client = Plain(w.address)
+    ref = w.ask(client, left="30000")
+    w.until(lambda: held)
+    (other,) = [name for name, s in w.streamers.items() if not s.news]
+    w.node.resolver.address = resolver.getsockname()
+    asked = []
+
+    def question():
+        with suppress(BlockingIOError):
+            asked.append(resolver.recvfrom(4096))
+        return bool(asked)
+
+    w.until(question)
+    w.draining.add(other)
+    w.resolver.serial += 1
+    resolver.sendto(w.resolver.answer(asked[0][0]), asked[0][1])
+    at_once(held[0][0], t="down", ref=ref, c=34)  # so that it goes on to the other at once
+    time.sleep(PATIENCE + 0.1)  # the process is late, and no other question is ever answered
+    w.until(lambda: w.node.host.standing[other] is Standing.LEAVING, 0.5)
+    gevent.sleep(0.3)
+    assert not w.streamers[other].news
+    resolver.close()
