A refused connection is no proof that a streamer died: one that drains closes its door and plays on

By id in the trace of n1: 8.633 test passed; 8.956 a set-up goes to s-, 8.958 it is refused as full and its connection closed, cleanly; 8.959 "streamer lost, refused", both viewings there released with cause 41. All other controllers hear tests pass there until 10.9; the list says leaving from 9.5 on, gone at 10.9. Ruled out: a death (the others), the list (nothing wrong was told), silence (it had answered 2 ms before). At fault: streamers._again took a refused connection with no other standing for the end of the process. The same at a restart: what was handed over at a streamer that drains was cut at once. Mend: it is the end where the last connection was reset, as those of a dying process are; else its silence tells, or the list. For what it is owed it is then dialled once a second, not four times. Two tests on real connections, both fail on the old text (released at once).

--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -56,7 +56,7 @@
                 self.upstreams[name] = Upstream(name, address, Pulse(now, *self.pulse))
             elif upstream.address != address:
                 # Its own lines go with it; viewings that it still has are told of on the next.
-                upstream.address = address
+                upstream.address, upstream.shut = address, 0.0
                 for line in upstream.lines:
                     line.half_close()
         for name, upstream in self.upstreams.items():
@@ -148,7 +148,7 @@
             raise ConnectionAbortedError("its address changed: whoever listens there now is another")
         line = Line(sock, upstream, self._heard, self._lost, self.clock())
         upstream.lines.add(line)
-        upstream.pulse.broken = None
+        upstream.reset = False
         upstream.pay(line, self.clock())
         return line
 
@@ -209,7 +209,7 @@
         self._say(upstream, messages.down(viewing, messages.ENDED), line, viewing)
 
     def _need(self, upstream: Upstream) -> None:
-        if not upstream.connecting:
+        if not upstream.connecting and self.clock() >= upstream.shut:
             upstream.connecting += 1
             gevent.spawn(self._again, upstream)
 
@@ -218,8 +218,7 @@
         try:
             self._open(upstream, self.connect)
         except ConnectionRefusedError:
-            # Nobody listens there: if no connection stands, the process is gone with what it played.
-            if not any(line.stands() for line in upstream.lines) and upstream.pulse.broke(self.clock(), True):
+            if upstream.refused(self.clock()):
                 self._gone(upstream, "refused")
         except OSError as fault:
             log.debug("streamer not reached", streamer=upstream.name, cause=str(fault))
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -12,6 +12,7 @@
 from herongap.node.connection import Connection
 
 Address = tuple[str, int]
+SHUT = 1.0  # seconds until one that refused a connection is dialled again for what it is owed
 OURS = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # what keeps a connection from coming up here, not at its streamer
 
 
@@ -67,6 +68,9 @@
         self.unheard: dict[str, tuple[Line, bytes, float]] = {}
         self.connecting, self.settled = 0, Event()  # set whenever one of those that come up did, or did not
         self.told_silent = self.gone = False
+        # Whether its last connection was reset, as those of a dying process are; until when it is not dialled
+        # for what it is owed.
+        self.reset, self.shut = False, 0.0
 
     def settle(self, seconds: float) -> None:
         """Wait until one of those that are coming up did, or did not, for so long at most."""
@@ -102,11 +106,21 @@
     def lost(self, line: Line) -> None:
         """A connection has ended: what it may have taken along is owed again."""
         self.lines.discard(line)
+        self.reset = line.broken and bool(line.cause)
         for ref, (at, message, until) in list(self.unheard.items()):
             if at is line and (line.broken or line.unsent(message)):
                 del self.unheard[ref]
                 self.owed.append((message, until, ref))
 
+    def refused(self, now: float) -> bool:
+        """It refused a connection; whether that shows that its process is gone.
+
+        One that drains closes its door too, and plays on; one that dies resets what it had open. Where
+        nothing was open nobody can tell: its silence will, or the list.
+        """
+        self.shut = now + SHUT
+        return self.reset and not any(line.stands() for line in self.lines)
+
     def evict(self, now: float, room: bool, idle: float) -> None:
         """Let go of connections that are not needed, or may be dead."""
         for line in evictions(now, self.lines, room, idle):
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -139,3 +139,33 @@
     handed(w, client, name)
     w.until(lambda: client.of("down", "0123456789abcdef"), 1.0)
     assert not w.node.host.lives and not w.node.viewers.sessions
+
+# Who is gone, and who only closed its door.
+
+
+def test_a_streamer_that_closes_its_door_plays_on(world):
+    w, door, client, peer, ref = at_door(world)
+    door.sock.close()
+    second = w.ask(client)
+    w.until(lambda: peer.of("new", second))
+    peer.say(t="down", ref=second, c=34)  # it drains: full for what is new, and no connection is kept open
+    peer.close()
+    w.until(lambda: client.of("down", second))
+    gevent.sleep(0.6)  # it has been dialled again, and refused
+    assert ref in w.node.host.lives and not client.of("down", ref)
+    w.streamers.clear()
+    w.resolver.serial += 1
+    w.until(lambda: client.of("down", ref), 1.5)  # as soon as the list says that it has gone
+
+
+def test_a_viewing_handed_over_at_a_streamer_whose_door_is_closed_plays_on_while_it_may_live(world):
+    w = world(streamers=2)
+    name = "s-00000000"
+    w.streamers[name].listener.close()
+    w.streamers[name]._greenlet.kill()
+    client = Plain(w.address)
+    handed(w, client, name)
+    w.until(lambda: w.node.host.lives)
+    gevent.sleep(0.6)
+    assert w.node.host.lives and not client.of("down")
+    w.until(lambda: client.of("down"), 6.0)  # nobody hears of its end there: not for longer than is allowed
