A viewing set up before the newest start of its streamer is over, and is released

Seen by reading: a machine that dies and is back within 4 s answers the tests that follow, on connections that come up anew; what the process before it played was held here for good, released to nobody. At fault: node/run.py took the start of a streamer from the list for its cold pace alone. Mend: with a start that is newer than a viewing's set-up the viewing ends. Test: fails on the old text (never released); what was set up since plays on.

--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -12,6 +12,7 @@
 from herongap import observe
 from herongap.daemon.listen import listen
 from herongap.host import Host
+from herongap.interface import Ending
 from herongap.limiter import ConnectionLimiter
 from herongap.node.connection import TRACE
 from herongap.node.resolver import Resolver
@@ -125,6 +126,17 @@
         self.port.listed(roster.addresses)
         self.host.listed(self.clock(), kind, roster.lines.values())
         self.port.replaced()
+        for name, line in roster.lines.items():
+            if line.started:
+                self._restarted(name, line.started)
+
+    def _restarted(self, name: str, since: float) -> None:
+        """What a streamer played before its newest start is over, also where it was back before its silence
+        could tell: on the connections that follow a new process answers, and knows nothing of it.
+        """
+        for viewing, number in self.host.held(name):
+            if self.host.lives[viewing].sent_at < since:
+                self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
 
     def _feel(self) -> None:
         """How late this process comes to what it has set itself a time for."""
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -4,6 +4,8 @@
 none, at the stated step.
 """
 
+import time
+
 import gevent
 import pytest
 from helpers import closing
@@ -169,3 +171,19 @@
     gevent.sleep(0.6)
     assert w.node.host.lives and not client.of("down")
     w.until(lambda: client.of("down"), 6.0)  # nobody hears of its end there: not for longer than is allowed
+
+
+def test_what_played_before_its_streamers_newest_start_is_over(world):
+    w, door, client, peer, ref = at_door(world)
+    peer.reset()  # as it dies; back at once, before anybody noticed, it answers what is asked of it
+    again = door.taken()
+    started = time.time()
+    second = w.ask(client)
+    w.until(lambda: again.of("new", second))
+    again.say(t="up", ref=second, d="plays")
+    w.until(lambda: client.of("up", second))
+    w.started["s-00000000"] = int(started * 1000)
+    w.resolver.serial += 1
+    w.until(lambda: client.of("down", ref), 1.5)
+    assert [m["c"] for m in client.of("down", ref)] == [41]
+    assert second in w.node.host.lives and not client.of("down", second)
