--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -134,9 +134,12 @@
         """What a streamer played before its newest start is over, also where it was back before its silence
         could tell: on the connections that follow a new process answers, and knows nothing of it.
         """
-        for viewing, number in self.host.held(name):
-            if self.host.lives[viewing].sent_at < since:
-                self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
+        lives = self.host.lives
+        before = [(vw, number) for vw, number in self.host.held(name) if lives[vw].sent_at < since]
+        if before:
+            log.warning("streamer lost", streamer=name, viewings=len(before), cause="restarted")
+        for viewing, number in before:
+            self.host.ended(self.clock(), viewing, number, Ending.BROKEN)
 
     def _feel(self) -> None:
         """How late this process comes to what it has set itself a time for."""
