A streamer that was silent is told again of all that it may play to nobody

Seen by reading, beside the release that a broken connection takes along: a viewer ends its viewing while its streamer is cut off; after 4 s of silence the connections there are closed, and what was owed and not answered was dropped with them. Back again, it was told of what had been held to the end alone. At fault: streamers._gone forgot what was owed, whether the process was known to be gone or only silent. Mend: Upstream.ends, which tells the two apart. Test: fails on the old text (one release of two).

--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -268,8 +268,7 @@
         held = self.host.held(upstream.name)
         if held:
             log.warning("streamer lost", streamer=upstream.name, viewings=len(held), cause=cause)
-        upstream.owed.clear()
-        upstream.unheard.clear()
+        upstream.ends(cause != "silent")
         for line in list(upstream.lines):
             line.close(cause)
         for viewing, number in held:
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -112,6 +112,16 @@
                 del self.unheard[ref]
                 self.owed.append((message, until, ref))
 
+    def ends(self, gone: bool) -> None:
+        """Nothing plays there for us any more: its process is `gone`, with all that it was owed; or it is
+        only silent, and is told again what it has not answered, should it live.
+        """
+        if gone:
+            self.owed = []
+        else:
+            self.owed += [(message, until, ref) for ref, (_, message, until) in self.unheard.items()]
+        self.unheard = {}
+
     def refused(self, now: float) -> bool:
         """It refused a connection; whether that shows that its process is gone.
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -67,6 +67,21 @@
     door.close()
 
 
+def test_one_that_was_silent_is_told_of_all_that_it_may_play_to_nobody(world):
+    w, door, client, peer, ref = at_door(world)
+    second = w.ask(client)
+    w.until(lambda: peer.of("new", second))
+    peer.say(t="up", ref=second, d="plays")
+    w.until(lambda: client.of("up", second))
+    client.say(t="down", ref=ref, c=16)  # into the connection of one that is cut off
+    w.until(lambda: client.of("ack", ref))
+    w.node.port.upstreams["s-00000000"].pulse.heard -= 60.0  # nothing was heard for a minute
+    w.until(lambda: client.of("down", second))
+    again = door.taken()  # and now it is back
+    w.until(lambda: again.of("down", second) and again.of("down", ref))
+    door.close()
+
+
 def test_the_process_does_not_end_while_a_streamer_is_owed_a_release(world):
     w, door, client, peer, ref = at_door(world, **SLOW)
     second = w.ask(client)
