--- a/herongap/cli/experiment.py
+++ b/herongap/cli/experiment.py
@@ -12,7 +12,7 @@
 from herongap.ini import Faults
 
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
-STRAY = 0.007  # docs/results.md, "Beside loopback": the five days of the first table
+STRAY = 0.007  # docs/results/front.md, "Beside loopback": the five days of the first table
 FOLDER = click.Path(file_okay=False, path_type=Path)
 STORE = click.option(
     "--store", type=click.Path(dir_okay=False, path_type=Path), help="Default: FILE with .results."
