--- a/tests/plain_peers.py
+++ b/tests/plain_peers.py
@@ -30,6 +30,12 @@
     return line(t="new", ref=ref, d=OFFER, f=f)
 
 
+def handed(w, peer, name, ref="0123456789abcdef"):
+    """A viewing that plays at that streamer already, told as to a controller that has just started."""
+    w.ask(peer, ref, left="9007199254740991", d="",
+          extras=f"home:0;copies:3;top:2;viewer:00000000b4d65521;at:{name}")  # fmt: skip
+
+
 def busy(held: list):
     """A streamer that keeps what it is asked until the test answers."""
     return lambda peer, m: held.append((peer, m))
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -15,7 +15,7 @@
 import pytest
 from helpers import closing
 from node_world import SETTINGS, World
-from plain_peers import SLOW, Door, Plain, at_once, busy, set_up
+from plain_peers import SLOW, Door, Plain, at_once, busy, handed, set_up
 
 import herongap.limiter
 from herongap.interface import Standing
@@ -44,11 +44,6 @@
     return w, streamer, client, ref
 
 
-def handed(w, peer, ref, name):
-    w.ask(peer, ref, left="9007199254740991", d="",
-          extras=f"home:0;copies:3;top:2;viewer:00000000b4d65521;at:{name}")  # fmt: skip
-
-
 def heard(w, peer, ref="b0"):
     """Wait until the controller has read all that this peer sent."""
     peer.say(t="hb", ref=ref, c=0)
@@ -204,7 +199,7 @@
     ref = "0123456789abcdef"
     one.say(t="down", ref=ref, c=16)
     heard(w, one)
-    handed(w, two, ref, name)
+    handed(w, two, name, ref)
     w.until(lambda: streamer.heard("down", ref))
     w.until(lambda: not w.node.host.lives and not w.node.viewers.sessions)
     heard(w, two)
@@ -221,7 +216,7 @@
     streamer.peers[0].say(t="down", ref=ref, c=41)
     streamer.peers[0].say(t="down", ref=first, c=16)
     w.until(lambda: client.of("down", first))
-    handed(w, client, ref, name)
+    handed(w, client, name, ref)
     w.until(lambda: client.of("down", ref), 1.0)
     assert not w.node.host.lives and [m["c"] for m in client.of("down", ref)] == [41]
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -10,7 +10,7 @@
 import pytest
 from helpers import closing
 from node_world import World
-from plain_peers import SLOW, Door, Plain
+from plain_peers import SLOW, Door, Plain, handed
 
 
 @pytest.fixture
@@ -140,11 +140,6 @@
     w.until(lambda: other.of("down", ref), 0.5)
 
 
-def handed(w, peer, name, ref="0123456789abcdef"):
-    w.ask(peer, ref, left="9007199254740991", d="",
-          extras=f"home:0;copies:3;top:2;viewer:00000000b4d65521;at:{name}")  # fmt: skip
-
-
 def test_a_viewing_handed_over_at_a_streamer_that_has_left_is_released(world):
     w = world(streamers=2)
     name = "s-00000000"
