--- a/herongap/rules/known.py
+++ b/herongap/rules/known.py
@@ -1,6 +1,6 @@
 """What one controller knows, shared by all its parts: streamers, pipes, viewings, what it is yet to say."""
 from collections import Counter, defaultdict, deque
-from statistics import median
+from statistics import median_low
 from zlib import crc32
 
 from herongap.interface import Asked, Charter, Listed, Load, Package, Standing
@@ -147,7 +147,7 @@
         for st in live:
             st.since = min(st.since, now) if now - st.link.heard < FADE else 1e18
         # The median: one failing streamer's word must not make every other link look full, not even alone.
-        self.usual = max(0.0, median(fresh if len(fresh) > 2 else [*fresh, own * (self.controllers - 1)]))
+        self.usual = max(0.0, median_low(fresh if len(fresh) > 2 else [*fresh, own * (self.controllers - 1)]))
 
     def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
         self.ask(now, vw, -1)
