The module: a word of others' use is carried on by how own use has changed since

known.py, `told` and `use`: a word is now carried on by how much more, or less, this controller asks of all links together than when the word was about, a sample of what all others do, times their number over all links.

--- a/herongap/rules/controller.py
+++ b/herongap/rules/controller.py
@@ -49,9 +49,9 @@
 
     def handed(self, now: float, ask: Asked, streamer: int) -> None:
         vw = self.viewings[ask.viewing] = Viewing(ask, self.known.packages[ask.package], now)
+        # It stood before: others have not grown by it. Nobody here chose its rung: it is raised at any word.
+        vw.apart, vw.playing, vw.tries, vw.stepped = True, True, 1, now - DWELL
         self.known.put(now, vw, self.streamers[streamer])
-        # Nobody here chose its rung: it may be raised as soon as its streamer has been heard of.
-        vw.playing, vw.tries, vw.stepped = True, 1, now - DWELL
         self.table.cells[vw.package.name, streamer][0] += 1
         self.limits.handed(vw)
 
@@ -71,6 +71,7 @@
         if (vw := self.viewings.get(viewing)) is None:
             return
         if vw.streamer is not None:
+            vw.apart |= how is Ending.BROKEN  # others lose theirs there too, and ask no less of the rest
             k.drop(now, vw)
         if not vw.playing and how is Ending.FULL:
             # Without a report of its own, a streamer that refuses by load is taken to be at that load.
@@ -150,8 +151,7 @@
         for vw in fresh:
             if self.waiting.get(vw.id) is vw:
                 place(now, vw)
-        wake = min(self.period, self.due[0][0]) if self.due else self.period
-        wake = min(wake, self.glance) if k.look else wake
+        wake = min([self.period, *(at for at, *_ in self.due[:1]), *[self.glance] * k.look])
         if not now < self.wake <= wake:
             self.wake = wake
             k.answers.append(("wake", wake))
--- a/herongap/rules/known.py
+++ b/herongap/rules/known.py
@@ -1,6 +1,6 @@
 """What one controller knows, shared by all its parts: streamers, pipes, viewings, what it is yet to say."""
 from collections import Counter, defaultdict, deque
-from statistics import median_low
+from statistics import fmean, median_low
 from zlib import crc32
 
 from herongap.interface import Asked, Charter, Listed, Load, Package, Standing
@@ -13,9 +13,9 @@
 class Pipe:
     """A link or a rack's uplink: what this controller asks of it and what it heard of the rest."""
 
-    def __init__(self, size: float):
+    def __init__(self, size: float, every: "Pipe | None" = None):
         self.size, self.own, self.rest, self.heard, self.eased = size, 0.0, 0.0, -1e9, -1e9
-        self.filled = 1.0
+        self.filled, self.every, self.base = 1.0, every, 0.0
         self.past: deque[tuple[float, float]] = deque()
 
     def add(self, now: float, kb: float) -> None:
@@ -24,15 +24,21 @@
         while self.past[0][0] < now - 10:
             self.past.popleft()
 
+    def asked(self, then: float) -> float:
+        return next((own for at, own in self.past if at > then), self.own)
+
     def told(self, now: float, ratio: float, late: float) -> None:
         # The word is about a moment ago: what was sent or ended here since then must not count twice.
-        then = next((own for at, own in self.past if at > now - late), self.own)
-        self.rest, self.heard = ratio * self.size - then, now
+        self.rest, self.heard = ratio * self.size - self.asked(now - late), now
+        self.base = self.every.asked(now - late)
+
+    def others(self) -> float:
+        # A word ages fast in a burst: how much more, or less, is asked here since is a sample of all others.
+        return max(0.0, self.rest / self.size + (self.every.own - self.base) / self.every.size)
 
     def use(self, now: float, usual: float, more: float = 0.0) -> float:
-        fresh = max(0.0, 1 - (now - self.heard) / FADE)
-        usual *= self.filled
-        return max(0.0, self.own + more + fresh * self.rest + (1 - fresh) * usual * self.size) / self.size
+        old = min(1.0, (now - self.heard) / FADE)
+        return max(0.0, (self.own + more) / self.size + (1 - old) * self.others() + old * usual * self.filled)
 
 
 class Streamer:
@@ -60,7 +66,7 @@
         self.until, self.aim = now + ask.left, now + min(package.join, ask.left)
         self.top, self.rung, self.tries = min(ask.top, package.top), package.floor, 0
         self.sent = self.stepped = self.hold = self.turn = now
-        self.playing = self.done = self.flood = False
+        self.playing = self.done = self.flood = self.apart = False
         self.tried, self.ran, self.charged, self.short = set(), [], (), set()
 
 
@@ -69,19 +75,18 @@
         c = charter
         self.seed, self.draws, self.me, self.controllers = seed, 0, c.me, c.controllers
         self.packages = {p.name: Terms(p, c.ladder, c.worths, c.join_adds) for p in c.packages}
-        self.zone, self.per_weight, self.places = c.zone, c.link_per_weight, c.places
-        self.racks = defaultdict(lambda: Pipe(c.rack_link))
+        self.zone, self.per_weight, self.places, self.warm_up = c.zone, c.link_per_weight, c.places, c.warm_up
+        self.racks = defaultdict(lambda: Pipe(c.rack_link, self.every))
         self.late, self.full_from, self.tune_ins = c.told_late, c.full_from, c.tune_ins
-        self.warm_up, self.cold_start = c.warm_up, c.cold_start
         self.streamers, self.viewings, self.waiting, self.seated = {}, {}, {}, Counter()
-        self.usual, self.over, self.look, self.answers = 0.0, set(), False, deque()
+        self.usual, self.over, self.look, self.answers, self.every = 0.0, set(), False, deque(), Pipe(1e18)
         # Requests of the last seconds; how often each shelf was asked for, and (None) anything.
-        self.asks, self.named = 0.0, Counter()
+        self.asks, self.named, self.cold_start = 0.0, Counter(), c.cold_start
 
     def listed(self, now: float, kind: str, lines: tuple[Listed, ...]) -> None:
         for line in lines:
             if line.streamer not in self.streamers and line.standing is not Standing.LEFT:
-                link = Pipe(self.per_weight * line.weight)
+                link = Pipe(self.per_weight * line.weight, self.every)
                 self.streamers[line.streamer] = Streamer(line, link, self.racks[line.rack])
             if st := self.streamers.get(line.streamer):
                 if line.started is not None and line.started > st.started:
@@ -113,10 +118,9 @@
         if (ratio := load.link) is None and load.link_capped is not None:
             # A capped figure hides how much more is asked; the share that is delivered shows it.
             ratio = load.link_capped if load.link_capped < 0.99 else 1 / max(st.share, 0.1)
-        if ratio is not None:
-            st.link.told(now, ratio, 0.3)
-        if load.rack is not None:
-            st.rack.told(now, load.rack, 0.3)
+        for pipe, told in ((st.link, ratio), (st.rack, load.rack)):
+            if told is not None:
+                pipe.told(now, told, 0.3)
         self.over.add(st.line.streamer)
 
     def set_aside(self, now: float, st: Streamer, lost: bool) -> None:
@@ -129,25 +133,24 @@
 
     def tick(self, now: float) -> None:
         """How large and full links are where nothing is heard, and what others usually ask of one."""
-        self.asks, named = 0.6 * self.asks, self.named
-        self.named = Counter({name: 0.99 * times for name, times in named.items() if times > 0.01})
-        racks = defaultdict(list)
-        for st in self.streamers.values():
+        self.asks, known = 0.6 * self.asks, self.streamers.values()
+        self.named = Counter({name: 0.99 * times for name, times in self.named.items() if times > 0.01})
+        for st in known:
             # Taken for as full as all others, one that has just started would stay empty when needed most.
-            age = now - (st.line.started or -1e9)
-            st.link.filled = min(1.0, max(0.0, age / self.warm_up))
-            racks[st.line.rack].append(st.link.filled)
+            st.link.filled = min(1.0, max(0.0, (now - (st.line.started or -1e9)) / self.warm_up))
             warmth = self.cold_start + (1 - self.cold_start) * max(0.0, now - st.started) / self.warm_up
             st.link.size = self.per_weight * st.line.weight * min(1.0, warmth)
-        for rack, filled in racks.items():
-            self.racks[rack].filled = sum(filled) / len(filled)
-        live = [st for st in self.streamers.values() if st.line.standing is Standing.ACTIVE]
-        fresh = [st.link.rest / st.link.size for st in live if now - st.link.heard < FADE]
-        own = sum(st.link.own for st in live) / (sum(st.link.size for st in live) or 1.0)
+        for i, rack in self.racks.items():
+            rack.filled = fmean([st.link.filled for st in known if st.line.rack == i] or [1])
+        live = [st for st in known if st.line.standing is Standing.ACTIVE]
+        # One controller's part of all links: what it asks in all of this, others ask of each on the mean.
+        self.every.size = (sum(st.link.size for st in live) or 1.0) / max(self.controllers - 1, 1e-9)
+        fresh = [st.link.others() for st in live if now - st.link.heard < FADE]
         for st in live:
             st.since = min(st.since, now) if now - st.link.heard < FADE else 1e18
         # The median: one failing streamer's word must not make every other link look full, not even alone.
-        self.usual = max(0.0, median_low(fresh if len(fresh) > 2 else [*fresh, own * (self.controllers - 1)]))
+        own = sum(st.link.own for st in live) / self.every.size
+        self.usual = median_low(fresh if len(fresh) > 2 else [*fresh, own])
 
     def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
         self.ask(now, vw, -1)
@@ -175,7 +178,7 @@
         kb = sign * vw.package.rates[vw.rung] * (vw.package.adds if st.shown[key] + (sign < 0) > 1 else 1.0)
         if not st.shown[key]:
             del st.shown[key]
-        for pipe in (st.link, st.rack):
+        for pipe in (st.link, st.rack, self.every)[:3 - vw.apart]:
             pipe.add(now, kb)
 
     def use(self, now: float, st: Streamer, more: float = 0.0) -> float:
--- a/herongap/rules/limits.py
+++ b/herongap/rules/limits.py
@@ -39,10 +39,9 @@
         if not self.extra:
             return True
         free, share, window = self.extra
-        while self.extras and self.extras[0] < now - window - 0.1:
-            self.extras.popleft()
-        while self.taken and self.taken[0] < now - window + 0.1:
-            self.taken.popleft()
+        for past, since in ((self.extras, now - window - 0.1), (self.taken, now - window + 0.1)):
+            while past and past[0] < since:
+                past.popleft()
         return len(self.extras) + 1 <= free + share * len(self.taken)
 
     def repeats_at(self, now: float, vw: Viewing, st: Streamer) -> bool:
