The module: own use says nothing of others as far as chance alone would show it

Cause, known.py `others`: a controller with few viewings is a poor sample; one viewing more or less was taken for one more or less at each of two hundred. Now a change counts less its root counted in viewings of the size last asked.

--- a/herongap/rules/known.py
+++ b/herongap/rules/known.py
@@ -15,8 +15,7 @@
 
     def __init__(self, size: float, every: "Pipe | None" = None):
         self.size, self.own, self.rest, self.heard, self.eased = size, 0.0, 0.0, -1e9, -1e9
-        self.filled, self.every, self.base = 1.0, every, 0.0
-        self.past: deque[tuple[float, float]] = deque()
+        self.filled, self.every, self.base, self.one, self.past = 1.0, every, 0.0, 0.0, deque()
 
     def add(self, now: float, kb: float) -> None:
         self.past.append((now, self.own))
@@ -33,8 +32,10 @@
         self.base = self.every.asked(now - late)
 
     def others(self) -> float:
-        # A word ages fast in a burst: how much more, or less, is asked here since is a sample of all others.
-        return max(0.0, self.rest / self.size + (self.every.own - self.base) / self.every.size)
+        # A word ages fast in a burst: what own use changed since, beyond chance, is a sample of all others.
+        change = self.every.own - self.base
+        sure = change * max(0.0, 1 - (self.every.one / max(abs(change), 1e-9)) ** 0.5)
+        return max(0.0, self.rest / self.size + sure / self.every.size)
 
     def use(self, now: float, usual: float, more: float = 0.0) -> float:
         old = min(1.0, (now - self.heard) / FADE)
@@ -140,16 +141,15 @@
             st.link.filled = min(1.0, max(0.0, (now - (st.line.started or -1e9)) / self.warm_up))
             warmth = self.cold_start + (1 - self.cold_start) * max(0.0, now - st.started) / self.warm_up
             st.link.size = self.per_weight * st.line.weight * min(1.0, warmth)
+            st.since = min(st.since, now) if now - st.link.heard < FADE else 1e18
         for i, rack in self.racks.items():
             rack.filled = fmean([st.link.filled for st in known if st.line.rack == i] or [1])
         live = [st for st in known if st.line.standing is Standing.ACTIVE]
         # One controller's part of all links: what it asks in all of this, others ask of each on the mean.
         self.every.size = (sum(st.link.size for st in live) or 1.0) / max(self.controllers - 1, 1e-9)
+        own = sum(st.link.own for st in live) / self.every.size
         fresh = [st.link.others() for st in live if now - st.link.heard < FADE]
-        for st in live:
-            st.since = min(st.since, now) if now - st.link.heard < FADE else 1e18
         # The median: one failing streamer's word must not make every other link look full, not even alone.
-        own = sum(st.link.own for st in live) / self.every.size
         self.usual = median_low(fresh if len(fresh) > 2 else [*fresh, own])
 
     def set_rung(self, now: float, vw: Viewing, rung: int) -> None:
@@ -178,6 +178,7 @@
         kb = sign * vw.package.rates[vw.rung] * (vw.package.adds if st.shown[key] + (sign < 0) > 1 else 1.0)
         if not st.shown[key]:
             del st.shown[key]
+        self.every.one = abs(kb)
         for pipe in (st.link, st.rack, self.every)[:3 - vw.apart]:
             pipe.add(now, kb)
 
--- a/herongap/rules/limits.py
+++ b/herongap/rules/limits.py
@@ -19,8 +19,7 @@
         self.wholes, self.left_of = c.wholes, dict.fromkeys((w.name for w in c.wholes), 0)
 
     def asked(self, now: float, member: str | None) -> bool:
-        if self.extra:
-            self.taken.append(now)
+        self.taken.extend([now] * bool(self.extra))
         return self.shares and member is not None and self.floods(now, member)
 
     def floods(self, now: float, member: str) -> bool:
