--- a/tests/plain_peers.py
+++ b/tests/plain_peers.py
@@ -41,6 +41,14 @@
     return lambda peer, m: held.append((peer, m))
 
 
+def all_busy(w) -> list:
+    """Every streamer keeps what it is asked: (peer, message) for each, in the order in which they came."""
+    held = []
+    for s in w.streamers.values():
+        s.does = busy(held)
+    return held
+
+
 def at_once(peer, **message):
     """What a streamer of the test's says, written at once: no greenlet runs before."""
     peer.sock._sock.sendall(line(**message))
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -15,7 +15,7 @@
 import pytest
 from helpers import closing
 from node_world import SETTINGS, World
-from plain_peers import SLOW, Door, Plain, at_once, busy, handed, set_up
+from plain_peers import SLOW, Door, Plain, all_busy, at_once, busy, handed, set_up
 
 import herongap.limiter
 from herongap.interface import Standing
@@ -56,9 +56,7 @@
 @pytest.mark.parametrize("noise", NOISE)
 def test_what_was_taken_on_a_connection_is_answered_before_its_noise_ends_it(world, noise):
     w = world(**SLOW)
-    held = []
-    for s in w.streamers.values():
-        s.does = busy(held)
+    held = all_busy(w)
     client, other = Plain(w.address), Plain(w.address)
     first = w.ask(client)
     w.until(lambda: len(held) == 1)
@@ -122,9 +120,7 @@
 def test_half_a_line_does_not_cost_what_was_taken_before_it(world, monkeypatch):
     monkeypatch.setattr(herongap.limiter, "MUTE", 0.2)
     w = world(**SLOW)
-    held = []
-    for s in w.streamers.values():
-        s.does = busy(held)
+    held = all_busy(w)
     client = Plain(w.address)
     ref = w.ask(client)
     client.raw(b'{"t":"new","ref":"00112233')
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -11,7 +11,7 @@
 import pytest
 from helpers import closing
 from node_world import SETTINGS, World
-from plain_peers import SLOW, Door, Plain, at_once, busy, set_up
+from plain_peers import SLOW, Door, Plain, all_busy, at_once, busy, set_up
 
 GOES = ["closes", "resets", "cancels"]
 
@@ -50,9 +50,7 @@
 @pytest.mark.parametrize("how", GOES)
 def test_no_further_attempt_for_a_client_whose_leaving_lies_unread(world, how, first):
     w = world(**SLOW)
-    held = []
-    for s in w.streamers.values():
-        s.does = busy(held)
+    held = all_busy(w)
     connected(w)
     client = Plain(w.address)
     ref = w.ask(client, left="30000")
@@ -70,9 +68,7 @@
 @pytest.mark.parametrize("ticks", [True, False])
 def test_the_other_sessions_of_a_connection_that_is_looked_at_are_served(world, ticks):
     w = world(**SLOW)
-    held = []
-    for s in w.streamers.values():
-        s.does = busy(held)
+    held = all_busy(w)
     client = Plain(w.address)
     ref, other = w.ask(client, left="30000"), w.ask(client, left="30000")
     w.until(lambda: len(held) == 2)
@@ -101,9 +97,7 @@
 @pytest.mark.parametrize("ticks", [True, False])
 def test_one_refusal_is_no_word_of_what_all_others_bear(world, ticks):
     w = world(**SLOW)
-    held = []
-    for s in w.streamers.values():
-        s.does = busy(held)
+    held = all_busy(w)
     client = Plain(w.address)
     ref = w.ask(client, left="30000")
     w.until(lambda: held)
--- a/tests/test_node_streamers.py
+++ b/tests/test_node_streamers.py
@@ -1,4 +1,4 @@
-"""The platform's controller on loopback: what it holds at streamers, and and as they change."""
+"""The platform's controller on loopback: what it holds at streamers, and what becomes of that."""
 
 import time
 
--- a/tests/test_stopped.py
+++ b/tests/test_stopped.py
@@ -13,7 +13,7 @@
 from helpers import closing
 from loopback import World as Front
 from node_world import World as Platform
-from plain_peers import SLOW, Plain, at_once, busy
+from plain_peers import SLOW, Plain, all_busy, at_once
 
 from herongap.interface import Standing
 from herongap.node.resolver import PATIENCE
@@ -82,9 +82,7 @@
 
 def test_an_answer_of_the_resolver_that_a_late_process_finds_unread_is_taken(platform):
     w = platform(streamers=2, **SLOW)
-    held = []
-    for s in w.streamers.values():
-        s.does = busy(held)
+    held = all_busy(w)
     resolver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     resolver.bind(("127.0.0.1", 0))
     resolver.setblocking(False)
