--- a/herongap/host/pulse.py
+++ b/herongap/host/pulse.py
@@ -52,6 +52,15 @@
             self.broken = now
         return unknown or now - self.broken >= GONE
 
+    def refused(self, reset: bool, stands: bool) -> bool:
+        """Whether one that refused a connection is gone: `reset`, if its last one was, and `stands`, if one
+        does still.
+
+        One that drains closes its door too, and plays on; one that dies resets what it had open. Where
+        nothing was open nobody can tell: its silence will, or the list.
+        """
+        return reset and not stands
+
     def test(self, now: float) -> bool:
         """Whether it is to be tested now; asked about several times a second."""
         if due := now - max(self.heard, self.tested) > self.every:
--- a/herongap/limiter.py
+++ b/herongap/limiter.py
@@ -12,6 +12,7 @@
 SPARE = 2  # idle connections to one streamer that are kept
 STALE = 1 / 3  # of the time after which its streamer closes an idle one: those beyond that are closed
 DOUBT = 1.0  # seconds that a connection to a streamer has to show that it lives
+SHUT = 1.0  # seconds until a streamer that refused a connection is dialled again for what it is owed
 
 
 def evictions(now: float, lines: Iterable, room: bool, idle: float) -> list:
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -8,11 +8,10 @@
 
 from herongap.host.pulse import Pulse
 from herongap.interface import Asked, Ending, Load
-from herongap.limiter import evictions
+from herongap.limiter import SHUT, evictions
 from herongap.node.connection import Connection
 
 Address = tuple[str, int]
-SHUT = 1.0  # seconds until one that refused a connection is dialled again for what it is owed
 OURS = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # what keeps a connection from coming up here, not at its streamer
 
 
@@ -123,13 +122,9 @@
         self.unheard = {}
 
     def refused(self, now: float) -> bool:
-        """It refused a connection; whether that shows that its process is gone.
-
-        One that drains closes its door too, and plays on; one that dies resets what it had open. Where
-        nothing was open nobody can tell: its silence will, or the list.
-        """
+        """It refused a connection; whether its process is gone."""
         self.shut = now + SHUT
-        return self.reset and not any(line.stands() for line in self.lines)
+        return self.pulse.refused(self.reset, any(line.stands() for line in self.lines))
 
     def evict(self, now: float, room: bool, idle: float) -> None:
         """Let go of connections that are not needed, or may be dead."""
