--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,17 +33,26 @@
         await asyncio.sleep(6)
         broken = []
         for at, serial, streamer in events:
-            # Told by the first answer that holds the event, and at the latest 1.5 s after the event. Which
-            # controller asked does not matter here: the later of both is taken.
-            firsts = {}
-            for sent, peer, number in world.resolver.sent:
-                if number >= serial:
-                    firsts.setdefault(peer, sent)
-            told = min(max(firsts.values()), at + TOLD_SECONDS) if firsts else at + TOLD_SECONDS
-            world.record("check", "told", streamer=streamer.name, event=round(at, 3), told=round(told, 3))
-            for when, ref in streamer.set_ups:
-                if when > told + GRACE_SECONDS + SOCKET_SECONDS:
-                    broken.append((when, when - told, ref, streamer.name))
+            for controller in range(world.count):
+                # Told by the first answer that holds the event, and at the latest 1.5 s after the event.
+                firsts = [
+                    sent
+                    for sent, to, number in world.resolver.sent
+                    if (to, number >= serial) == (controller, True)
+                ]
+                told = min([at + TOLD_SECONDS, *firsts])
+                world.record(
+                    "check",
+                    "told",
+                    streamer=streamer.name,
+                    controller=controller,
+                    event=round(at, 3),
+                    first_answer=firsts and round(firsts[0], 3),
+                    told=round(told, 3),
+                )
+                for when, ref, sender in streamer.set_ups:
+                    if sender == controller and when > told + GRACE_SECONDS + SOCKET_SECONDS:
+                        broken.append((when, when - told, ref, streamer.name))
         for when, after, ref, name in sorted(broken):
             world.record("check", "broken", at=round(when, 3), after=round(after, 3), ref=ref, streamer=name)
         total = sum(len(viewers.requests) for viewers in world.viewers)
--- a/review/standins.py
+++ b/review/standins.py
@@ -116,21 +116,31 @@
     def __init__(self, world, name: str, zone: str, cell: int, life=(6.0, 20.0)):
         self.world, self.name, self.zone, self.cell, self.life = world, name, zone, cell, life
         self.mode, self.set_up_seconds, self.state, self.started_ms = "play", 0.03, "Ready", 0
-        self.connections, self.sessions, self.open, self.early = [], {}, {}, []
-        self.set_ups: list[tuple[float, str]] = []
-        self.server = None
+        self.connections, self.sessions, self.open, self.unheard = [], {}, {}, []
+        self.set_ups: list[tuple[float, str, int]] = []  # when, which viewing, from which controller
+        self.servers, self.addresses, self.alive = [], {}, False
 
     async def start(self):
-        factory = lambda: Lines(self._message, self._opened, self._lost)  # noqa: E731
-        self.server = await asyncio.get_running_loop().create_server(factory, "127.0.0.1", 0, backlog=512)
-        self.address = self.server.sockets[0].getsockname()
+        """Listen, at an address of its own for each controller."""
+        self.alive, loop = True, asyncio.get_running_loop()
+        for controller in range(self.world.count):
+
+            def accepted(controller=controller):
+                connection = Lines(self._message, self._opened, self._lost)
+                connection.controller = controller
+                return connection
+
+            address = self.addresses.get(controller, ("127.0.0.1", 0))
+            server = await loop.create_server(accepted, *address, backlog=512)
+            self.servers.append(server)
+            self.addresses[controller] = server.sockets[0].getsockname()
 
     def _opened(self, connection):
         self.connections.append(connection)
         # A release is also sent on the next connection that opens.
-        early, self.early = self.early, []
-        for ref, cause in early:
-            connection.send(t="down", ref=ref, c=cause)
+        for entry in [entry for entry in self.unheard if entry[0] == connection.controller]:
+            self.unheard.remove(entry)
+            connection.send(t="down", ref=entry[1], c=entry[2])
 
     def _lost(self, connection):
         self.connections.remove(connection)
@@ -143,8 +153,15 @@
             connection.send(t="hb_ok", ref=ref, c=1)
             return
         if message["t"] == "new":
-            record(self.name, "set-up", ref=ref, f=message["f"], state=self.state)
-            self.set_ups.append((record.now, ref))
+            record(
+                self.name,
+                "set-up",
+                ref=ref,
+                f=message["f"],
+                state=self.state,
+                controller=connection.controller,
+            )
+            self.set_ups.append((record.now, ref, connection.controller))
             self.open[ref] = connection
             if self.mode == "play":
                 asyncio.get_running_loop().call_later(self.set_up_seconds, self._play, ref)
@@ -155,7 +172,7 @@
                 connection.send(t="down", ref=ref, c=31)
 
     def _play(self, ref):
-        if (connection := self.open.pop(ref, None)) is None or self.server is None:
+        if (connection := self.open.pop(ref, None)) is None or not self.alive:
             return
         self.sessions[ref] = connection
         self.world.record(self.name, "answers", ref=ref)
@@ -167,58 +184,61 @@
 
     def end(self, ref, cause=16):
         """End a session."""
-        if (connection := self.sessions.pop(ref, None)) is None or self.server is None:
+        if (connection := self.sessions.pop(ref, None)) is None or not self.alive:
             return
         self.world.record(self.name, "ends", ref=ref, c=cause)
+        controller = connection.controller
         if not connection.open:
-            connection = next((other for other in self.connections if other.open), None)
+            mine = (other for other in self.connections if other.open and other.controller == controller)
+            connection = next(mine, None)
         if connection is not None:
             connection.send(t="down", ref=ref, c=cause)
-        self.early.append((ref, cause))
+        self.unheard.append((controller, ref, cause))
 
     def kill(self):
         """Die: the listener closes, connections are reset, sessions are cut."""
         self.world.record(self.name, "dies")
-        self.server.close()
-        self.server = None
+        for server in self.servers:
+            server.close()
+        self.servers, self.alive, self.unheard = [], False, []
         for connection in list(self.connections):
             connection.reset()
         self.sessions, self.open = {}, {}
 
 
-class Resolver(asyncio.DatagramProtocol):
-    """Answers with the world's streamers, `delay` seconds after each query.
+class Resolver:
+    """Answers `delay` seconds after each query, at an address of its own for each controller.
 
-    `told` has, by controller (the address that asked), the time at which an answer with that serial was first
-    sent.
+    `sent` has when an answer was sent, to which controller, and its serial.
     """
 
     def __init__(self, world):
-        self.world, self.delay, self.serial, self.transport = world, 0.003, 1, None
-        self.sent: list[tuple[float, tuple, int]] = []
+        self.world, self.delay, self.serial, self.silent = world, 0.003, 1, False
+        self.sent: list[tuple[float, int, int]] = []
+        self.addresses = {}
 
     async def start(self):
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
-        self.address = self.transport.get_extra_info("sockname")
-
-    def connection_made(self, transport):
-        self.transport = transport
-
-    def datagram_received(self, data, peer):
-        self.world.record("resolver", "query", peer=peer[1], id=int.from_bytes(data[:2], "big"))
-        asyncio.get_running_loop().call_later(self.delay, self._answer, data, peer)
-
-    def _answer(self, data, peer):
-        if self.transport.is_closing():
+        for controller in range(self.world.count):
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda controller=controller: Endpoint(self, controller), local_addr=("127.0.0.1", 0)
+            )
+            self.addresses[controller] = transport.get_extra_info("sockname")
+
+    def queried(self, endpoint, data: bytes, peer):
+        number = int.from_bytes(data[:2], "big")
+        self.world.record("resolver", "query", controller=endpoint.controller, id=number)
+        asyncio.get_running_loop().call_later(self.delay, self.answer, endpoint, data, peer)
+
+    def answer(self, endpoint, data: bytes, peer):
+        if self.silent or endpoint.transport.is_closing():
             return
-        self.sent.append((self.world.record.now, peer, self.serial))
-        self.world.record(
-            "resolver", "answer", peer=peer[1], id=int.from_bytes(data[:2], "big"), serial=self.serial
-        )
-        self.transport.sendto(self.encode(data), peer)
+        controller, number = endpoint.controller, int.from_bytes(data[:2], "big")
+        self.sent.append((self.world.record.now, controller, self.serial))
+        self.world.record("resolver", "answer", controller=controller, id=number, serial=self.serial)
+        endpoint.transport.sendto(self.encode(data, controller), peer)
 
-    def encode(self, data: bytes) -> bytes:
+    def encode(self, data: bytes, controller: int) -> bytes:
         """Return the answer to a query: the whole list."""
         query = dns.message.from_wire(data)
         answer = dns.message.make_response(query)
@@ -226,7 +246,7 @@
         soa = f"ns.fleet.local. op.fleet.local. {self.serial} 1 1 1 1"
         answer.authority.append(dns.rrset.from_text("fleet.local.", 0, "IN", "SOA", soa))
         for streamer in self.world.streamers:
-            host, port = f"{streamer.name}.{streamer.zone}.hosts.", streamer.address[1]
+            host, port = f"{streamer.name}.{streamer.zone}.hosts.", streamer.addresses[controller][1]
             text = f'"kind=std-2c" "cell={streamer.cell}" "started={streamer.started_ms}"'
             if streamer.state == "Gone":
                 continue
@@ -245,6 +265,19 @@
         self.world.record("resolver", "event", serial=self.serial, streamer=streamer.name, state=state)
 
 
+class Endpoint(asyncio.DatagramProtocol):
+    """The resolver's socket for one controller."""
+
+    def __init__(self, resolver: Resolver, controller: int):
+        self.resolver, self.controller, self.transport = resolver, controller, None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, peer):
+        self.resolver.queried(self, data, peer)
+
+
 class Request:
     """A viewer's set-up and what came for it."""
 
@@ -317,7 +350,10 @@
         while self.world.record.now < until:
             open_ones = [c for c in connections if c.open]
             if not open_ones:
-                connections.append(await self.connect())
+                try:
+                    connections.append(await self.connect())
+                except OSError:
+                    await asyncio.sleep(0.2)
                 continue
             self.ask(random.choice(open_ones), random.choice(("standard", "standard", "priority")))
             await asyncio.sleep(random.expovariate(rate))
@@ -352,15 +388,15 @@
                 probe.bind(("127.0.0.1", 0))
                 address = probe.getsockname()
             self.viewers.append(Viewers(self, f"viewers-{i}", address))
-            self.configure(i, self.resolver.address)
+            self.configure(i)
             self.processes.append(await self.launch(i, run))
         for viewers in self.viewers:
             await self.ready(viewers)
 
-    def configure(self, i: int, resolver) -> Path:
+    def configure(self, i: int) -> Path:
         """Write the configuration file of a controller."""
         servers = [
-            {"id": s.name, "addr": "{}:{}".format(*s.address), "zone": s.zone, "kind": "std-2c",
+            {"id": s.name, "addr": "{}:{}".format(*s.addresses[i]), "zone": s.zone, "kind": "std-2c",
              "cell": s.cell, "state": s.state, "weight": 4, "started_ms": s.started_ms}
             for s in self.streamers if s.state != "Gone"
         ]  # fmt: skip
@@ -379,7 +415,7 @@
             "name": f"n{i}", "listen": "{}:{}".format(*self.viewers[i].address),
             "seed": f"{random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
-            "names": "{}:{}".format(*resolver), "known": known, "settings": settings,
+            "names": "{}:{}".format(*self.resolver.addresses[i]), "known": known, "settings": settings,
         }))  # fmt: skip
         return path
 
