--- a/review/standins.py
+++ b/review/standins.py
@@ -279,11 +279,12 @@
 
 
 class Request:
-    """A viewer's set-up and what came for it."""
+    """A viewer's set-up and what came for it: answers, and the end of what played with its cause."""
 
     def __init__(self, ref: str, package: str, sent: float, patience: float, connection):
         self.ref, self.package, self.sent, self.patience = ref, package, sent, patience
-        self.connection, self.answers, self.over, self.connection_ended = connection, [], None, None
+        self.connection, self.answers, self.over, self.cause = connection, [], None, None
+        self.connection_ended, self.home, self.copies = None, 0, 0
 
 
 class Viewers:
@@ -321,7 +322,8 @@
         if (request := self.requests.get(ref)) is None:
             self.unknown.append((now, message))
         elif request.answers and request.answers[0][1] == "up":
-            request.over = request.over or now
+            if request.over is None:
+                request.over, request.cause = now, message.get("c")
             connection.send(t="ack", ref=ref)
         else:
             request.answers.append((now, message["t"], message.get("c")))
@@ -341,6 +343,7 @@
              "extras": f"home:{home};copies:{copies};top:3;viewer:{random.getrandbits(64):016x}"}  # fmt: skip
         self.world.record(self.name, "asks", ref=ref, f=f | fields)
         request = self.requests[ref] = Request(ref, package, self.world.record.now, left, connection)
+        request.home, request.copies = home, copies
         connection.send(t="new", ref=ref, f=f | fields, d=OFFER.format(random.getrandbits(64)))
         return request
 
