--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,10 +12,9 @@
 
 
 async def case(folder: Path) -> int:
-    world = World(folder)
+    world, flood = World(folder), None
     try:
         await world.start()
-        flood = None
         waves, tests = [], []
         for viewers in world.viewers:
             connections = [await viewers.connect() for _ in range(4)]
@@ -62,6 +61,8 @@
             )
         return 1 if broken or not all(world.alive()) else 0
     finally:
+        if flood and flood.returncode is None:
+            flood.kill()
         await world.close()
 
 
