--- a/review/1/flood.py
+++ b/review/1/flood.py
@@ -2,8 +2,8 @@
 
     flood.py HOST PORT SECONDS
 
-It has at most `WINDOW` set-ups without an answer, sends at full speed and reads whatever it is sent.
-Prints what it sent and received.
+It has at most `WINDOW` set-ups without an answer, sends at full speed and reads whatever it is sent. When its
+connection is closed it comes again. Prints what it sent and received.
 """
 
 import json
@@ -11,6 +11,7 @@
 import socket
 import sys
 import time
+from contextlib import suppress
 
 WINDOW = 500
 
@@ -25,26 +26,35 @@
 
 def main(host: str, port: str, seconds: str) -> None:
     stock = [set_up() for _ in range(WINDOW)]
-    sent = answered = 0
     until = time.monotonic() + float(seconds)
-    first = None
-    with socket.create_connection((host, int(port))) as sock:
+    report = {"connections": 0, "sent": 0, "answered": 0, "first_answer": None}
+    while time.monotonic() < until:
+        with suppress(OSError):
+            connect(host, int(port), stock, until, report)
+    print(json.dumps(report))
+
+
+def connect(host: str, port: int, stock: list[bytes], until: float, report: dict) -> None:
+    """Use one connection until its end; then the same begins again."""
+    sent = answered = 0
+    with socket.create_connection((host, port)) as sock:
+        report["connections"] += 1
         sock.settimeout(0.5)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         while time.monotonic() < until:
             if room := WINDOW - (sent - answered):
                 sock.sendall(b"".join(stock[(sent + i) % WINDOW] for i in range(room)))
                 sent += room
+                report["sent"] += room
             try:
                 data = sock.recv(1 << 18)
             except TimeoutError:
                 continue
             if not data:
-                break
-            if first is None:
-                first = data.partition(b"\n")[0].decode()
+                return
+            report["first_answer"] = report["first_answer"] or data.partition(b"\n")[0].decode()
             answered += data.count(b"\n")
-    print(json.dumps({"sent": sent, "answered": answered, "first_answer": first}))
+            report["answered"] += data.count(b"\n")
 
 
 if __name__ == "__main__":
