--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,6 +27,14 @@
     await close_later(connection)
 
 
+async def front(viewers: Viewers) -> None:
+    """The front tests its controller once a second, on a connection that stays open."""
+    connection = await viewers.connect()
+    while connection.open:
+        viewers.test(connection)
+        await asyncio.sleep(1)
+
+
 async def quiet(world: World, viewers: Viewers, trouble: bool, ends: dict) -> None:
     """Eight viewings of one controller, of which viewers end four and streamers the others."""
     first = await viewers.connect()
@@ -62,7 +70,10 @@
         await world.start()
         ends: dict[str, float] = {}
         trouble = os.environ.get("TROUBLE", "1") != "0"
+        tests = [asyncio.create_task(front(viewers)) for viewers in world.viewers]
         await asyncio.gather(*(quiet(world, viewers, trouble, ends) for viewers in world.viewers))
+        for test in tests:
+            test.cancel()
         broken = 0
         for viewers in world.viewers:
             for ref, at in ends.items():
