--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,8 +11,8 @@
 FLOOD_SECONDS = 15
 
 
-async def case(folder: Path) -> int:
-    world, flood = World(folder), None
+async def case(record: Path) -> int:
+    world, flood = World(record), None
     try:
         await world.start()
         waves, tests = [], []
@@ -32,10 +32,15 @@
         await asyncio.sleep(5)
         if os.environ.get("TROUBLE", "1") != "0":
             host, port = world.viewers[0].address
+            script = str(Path(__file__).with_name("flood.py"))
             flood = await asyncio.create_subprocess_exec(
-                sys.executable, str(folder / "flood.py"), host, str(port), str(FLOOD_SECONDS),
+                sys.executable,
+                script,
+                host,
+                str(port),
+                str(FLOOD_SECONDS),
                 stdout=asyncio.subprocess.PIPE,
-            )  # fmt: skip
+            )
             world.record("bad-client", "started", pid=flood.pid, controller=0)
         await asyncio.gather(*waves)
         front_task.cancel()
@@ -67,4 +72,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(execute(case, Path(__file__).resolve().parent))
+    sys.exit(execute(case, Path(__file__).resolve().with_name("record.txt")))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -30,8 +30,8 @@
     world.resolver.change(successor, "Ready")
 
 
-async def case(folder: Path) -> int:
-    world = World(folder)
+async def case(record: Path) -> int:
+    world = World(record)
     try:
         await world.start()
         if os.environ.get("TROUBLE", "1") != "0":
@@ -93,4 +93,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(execute(case, Path(__file__).resolve().parent))
+    sys.exit(execute(case, Path(__file__).resolve().with_name("record.txt")))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -62,8 +62,8 @@
     await asyncio.sleep(3)
 
 
-async def case(folder: Path) -> int:
-    world = World(folder)
+async def case(record: Path) -> int:
+    world = World(record)
     try:
         for streamer in world.streamers:
             streamer.life = (600.0, 600.0)
@@ -91,4 +91,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(execute(case, Path(__file__).resolve().parent))
+    sys.exit(execute(case, Path(__file__).resolve().with_name("record.txt")))
--- a/review/standins.py
+++ b/review/standins.py
@@ -55,7 +55,7 @@
     """Writes the record; `now` is seconds since its start."""
 
     def __init__(self, path: Path):
-        self.start, self.file = time.time(), path.open("w")
+        self.start, self.file = time.time(), path.open("w", buffering=1)
         self(
             "script",
             "start",
@@ -365,8 +365,8 @@
 class World:
     """Everything of one case; `controllers` processes are started by the deploy file's line `run`."""
 
-    def __init__(self, folder: Path, streamers=12, controllers=2, memory_mb=192, sockets=1024, settings=None):
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record: Path, streamers=12, controllers=2, memory_mb=192, sockets=1024, settings=None):
+        self.record = Record(record)
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
         self.resolver, self.memory_mb, self.sockets = Resolver(self), memory_mb, sockets
         self.settings = settings or SETTINGS
@@ -485,14 +485,14 @@
     ]
 
 
-def execute(case, folder: Path, seconds=115) -> int:
-    """Run a case, a coroutine function of the folder; return the exit status."""
+def execute(case, record: Path, seconds=115) -> int:
+    """Run a case, a coroutine function of the path of its record; return the exit status."""
 
     async def limited():
         # Ended from outside, a case still ends the processes that it started.
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
-        return await asyncio.wait_for(case(folder), seconds)
+        return await asyncio.wait_for(case(record), seconds)
 
     try:
         return asyncio.run(limited())
