--- a/herongap/daemon/listen.py
+++ b/herongap/daemon/listen.py
@@ -5,6 +5,7 @@
 from gevent import socket
 
 Address = tuple[str, int]
+LISTEN_BACKLOG = 1024  # connections that the system holds until they are accepted
 
 
 def listen(address: Address) -> socket.socket:
@@ -12,7 +13,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(plain.SOL_SOCKET, plain.SO_REUSEADDR, 1)
     sock.bind(address)
-    sock.listen(1024)
+    sock.listen(LISTEN_BACKLOG)
     return sock
 
 
--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -11,11 +11,10 @@
 from gevent import socket
 
 from herongap.platform.lines import LineBuffer, LineTooLongError
+from herongap.platform.turns import TURN_BYTES, InputTurns, TurnPacer
 
-# Bytes that a peer may leave unread before its connection is closed, and the most that one call of
-# `read_available` reads.
+# Bytes that a peer may leave unread before its connection is closed, and the most that `read_last` reads.
 MAX_BACKLOG_BYTES = 1 << 18
-READ_CHUNK_BYTES = 16384
 # Seconds between two reads of input that is discarded: a peer that cannot be understood must cost nothing.
 DISCARD_PAUSE_SECONDS = 0.01
 # Lines that contain these bytes are logged as they pass: the id of one viewing, or "ref" for all.
@@ -31,7 +30,7 @@
 
     `on_line` may close the connection or set `discarding`; the lines that came with it are then dropped. A
     `half_closed` connection is only read to its end. A `broken` one was ended by its peer, which may not have
-    read the last messages sent to it.
+    read the last messages sent to it. `pacer` spaces the turns of peers that never stop sending.
     """
 
     def __init__(
@@ -41,11 +40,14 @@
         on_line: Callable,
         on_closed: Callable,
         on_oversized: Callable | None = None,
+        *,
+        pacer: TurnPacer,
     ):
         sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
         self.sock, self.peer, self._on_line, self._on_closed = sock, peer, on_line, on_closed
         self._on_oversized = on_oversized or (lambda connection, error: connection.close(str(error)))
         self.input, self.closed, self.cause = LineBuffer(), False, ""
+        self._turns, self._handling = InputTurns(pacer), False
         self.discarding = self.half_closed = self.broken = self._ended = False
         # Messages that the system has not accepted in full; `unsent_bytes` are left. Of the first, `_sent`
         # bytes have been written.
@@ -120,26 +122,24 @@
 
     # Reading.
 
-    def read_available(self) -> bool:
-        """Read and handle what has arrived, without waiting for the reader; whether that was all of it.
+    def read_available(self) -> float:
+        """Read and handle what has arrived, without waiting for the reader, for one turn at most.
 
-        The amount is bounded, or a peer that never stops would block all others. At the end of the connection
-        `on_closed` is called.
+        Return after how many seconds the rest may be read; 0.0 if nothing is left. At the end of the
+        connection `on_closed` is called.
         """
-        for _ in range(MAX_BACKLOG_BYTES // READ_CHUNK_BYTES):
-            if self.closed:
+        while not (self.closed or self._handling):
+            if (pause := self._turns.pause()) > 0:
+                return pause if self.has_unread_input() else 0.0
+            if not self._read_chunk():
                 break
-            try:
-                data = self.sock._sock.recv(READ_CHUNK_BYTES, plain.MSG_DONTWAIT)
-            except (BlockingIOError, InterruptedError):
+        return 0.0
+
+    def read_last(self) -> None:
+        """Read and handle what has arrived, before the connection is closed; the amount is bounded."""
+        for _ in range(MAX_BACKLOG_BYTES // TURN_BYTES):
+            if self.closed or not self._read_chunk():
                 break
-            except OSError as error:
-                data, self.cause = b"", self.cause or str(error)
-            if not self._handle_input(data):
-                self._end()
-        else:
-            return False
-        return True
 
     def is_open(self) -> bool:
         """Whether the peer has not closed the connection, as far as can be seen without waiting."""
@@ -178,19 +178,41 @@
     def _read(self) -> None:
         try:
             while not self.closed:
-                if not self._handle_input(self.sock.recv(READ_CHUNK_BYTES)):
-                    break
-                if self.discarding:
+                if (pause := self._turns.pause()) > 0:
+                    gevent.sleep(pause)
+                elif not self._read_chunk() and not self.closed:
+                    self.sock._wait(self.sock._read_event)
+                    self._turns.input_exhausted()
+                elif self.discarding:
                     gevent.sleep(DISCARD_PAUSE_SECONDS)
         except OSError as error:
             self.cause = self.cause or str(error)
         finally:
             self._end()
 
-    def _handle_input(self, data: bytes) -> bool:
-        """Handle the lines that these bytes complete; False without any bytes, at the end of the input."""
-        if self.discarding or not data:
-            return bool(data)
+    def _read_chunk(self) -> bool:
+        """Read and handle some input without waiting; False without any, or at the connection's end."""
+        try:
+            data = self.sock._sock.recv(TURN_BYTES, plain.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            data, self.cause = b"", self.cause or str(error)
+        if not data:
+            self._end()
+            return False
+        self._handling = True
+        try:
+            self._handle_input(data)
+        finally:
+            self._handling = False
+        self._turns.input_handled(len(data))
+        return True
+
+    def _handle_input(self, data: bytes) -> None:
+        """Handle the lines that these bytes complete."""
+        if self.discarding:
+            return
         try:
             for line in self.input.feed(data):
                 if TRACE and TRACE in line:
@@ -204,7 +226,6 @@
                     break
         except LineTooLongError as error:
             self._on_oversized(self, error)
-        return True
 
     def _end(self) -> None:
         """Release the socket and call `on_closed`, once, however the connection ended."""
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -165,6 +165,11 @@
             gevent.sleep(LAG_CHECK_INTERVAL_SECONDS)
             self.viewers.limiter.record_lag(self.clock() - due)
 
+    def _longest_turn(self) -> float:
+        """Return how long the longest turn of a peer that sends without a break was, since the last call."""
+        pacers = (self.viewers.input_pacer, self.viewers.accept_pacer, self.port.input_pacer)
+        return max(pacer.pop_longest_turn() for pacer in pacers)
+
     def _maintain(self) -> None:
         """Run the periodic maintenance, and log figures of the process."""
         logged_at = self.clock()
@@ -186,6 +191,7 @@
                     viewers=len(self.viewers.connections),
                     streamers=len(self.port.connections()),
                     behind=round(max_lag, 3),
+                    longest_turn=round(self._longest_turn(), 3),
                     cpu=round(time.process_time(), 2),
                     **self.host.counts,
                 )
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -27,6 +27,7 @@
 from herongap.platform import messages
 from herongap.platform.config import NodeConfig
 from herongap.platform.messages import InvalidFieldError, MalformedMessageError, Message
+from herongap.platform.turns import TurnPacer
 
 PROBE_TIMEOUT_SECONDS = 0.5
 log = structlog.get_logger()
@@ -58,7 +59,7 @@
         # Ends of viewings that were not handed over yet, with their expiry: the release by the streamer may
         # arrive before the set-up whose `at` names that streamer.
         self.early_releases: dict[tuple[str, str], tuple[EndReason, float]] = {}
-        self.timer = Timer(clock)
+        self.timer, self.input_pacer = Timer(clock), TurnPacer(clock)
         self._heartbeat_ids = count(1)
         self.probes: dict[str, tuple[str, float]] = {}
 
@@ -169,7 +170,7 @@
         if upstream.address != address:
             sock.close()
             raise ConnectionAbortedError("the streamer's address changed while it was dialled")
-        connection = StreamerConnection(sock, upstream, self._on_line, self._on_closed, self.clock())
+        connection = StreamerConnection(sock, upstream, self._on_line, self._on_closed, self.input_pacer)
         upstream.connections.add(connection)
         upstream.last_was_reset = False
         upstream.deliver_pending(connection, self.clock())
@@ -207,8 +208,8 @@
         # Timers that are due run first, as this process may be late. Input of the viewer is read before the
         # check, as the viewer may have left meanwhile.
         self.host.woke(self.clock())
-        while self.attempts.get(key) is attempt and not self.viewers.read_available(viewing):
-            gevent.sleep(0)
+        while self.attempts.get(key) is attempt and (pause := self.viewers.read_available(viewing)):
+            gevent.sleep(pause)
         if self.attempts.get(key) is not attempt:
             return False
         if self.host.sendable(viewing, attempt.number, self.clock()):
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -10,6 +10,7 @@
 from herongap.interface import EndReason, LoadReport, ViewingRequest
 from herongap.limiter import REDIAL_DELAY_SECONDS, connections_to_close
 from herongap.node.connection import Connection
+from herongap.platform.turns import TurnPacer
 
 Address = tuple[str, int]
 # Errors that keep this process from opening a connection, whatever the state of the streamer.
@@ -58,9 +59,10 @@
     sent something on it again.
     """
 
-    def __init__(self, sock, upstream: "Upstream", on_line: Callable, on_closed: Callable, now: float):
-        self.upstream, self.attempts, self.last_received, self.suspected_at = upstream, {}, now, None
-        super().__init__(sock, upstream.name, on_line, on_closed)
+    def __init__(self, sock, upstream: "Upstream", on_line: Callable, on_closed: Callable, pacer: TurnPacer):
+        self.upstream, self.attempts = upstream, {}
+        self.last_received, self.suspected_at = pacer.clock(), None
+        super().__init__(sock, upstream.name, on_line, on_closed, pacer=pacer)
 
 
 class Upstream:
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -6,6 +6,7 @@
 import gevent
 import structlog
 
+from herongap.daemon.listen import LISTEN_BACKLOG
 from herongap.host import Answer, Host
 from herongap.interface import EndReason, ViewingRequest
 from herongap.limiter import SUSPECT_TIMEOUT_SECONDS, ConnectionLimiter
@@ -13,7 +14,9 @@
 from herongap.platform import messages
 from herongap.platform.config import NodeConfig
 from herongap.platform.messages import InvalidFieldError, MalformedMessageError, Message
+from herongap.platform.turns import TURN_ACCEPTS, TurnPacer
 
+ACCEPT_RETRY_SECONDS = 0.1  # without a free descriptor
 log = structlog.get_logger()
 
 
@@ -54,29 +57,47 @@
         # the most recent is last.
         self.with_viewings: dict[Connection, None] = {}
         self.with_answers: dict[Connection, None] = {}
+        self.input_pacer, self.accept_pacer = TurnPacer(clock), TurnPacer(clock)
         self.ready = self.shutting_down = False
         self.listener = None
 
     def accept(self, listener) -> None:
         """Accept connections until the listener is closed."""
         self.listener = listener
-        while True:
+        while not listener.closed:
+            began = self.clock()
+            if self._accept_waiting(TURN_ACCEPTS):
+                gevent.sleep(self.accept_pacer.next_turn_after(began) - self.clock())
+                continue
+            listener.settimeout(None)
+            with suppress(OSError):  # closed meanwhile
+                if not listener.closed:
+                    listener._wait(listener._read_event)
+
+    def _accept_waiting(self, most: int) -> bool:
+        """Accept the connections that wait, `most` at most; whether more may be accepted at once."""
+        self.listener.settimeout(0.0)
+        for _ in range(most):
             try:
-                sock, peer = listener.accept()
+                sock, peer = self.listener.accept()
+            except BlockingIOError:
+                return False
             except OSError as error:
-                if listener.closed:
-                    return
+                if self.listener.closed:
+                    return False
                 # Out of descriptors: open connections continue, and accepting is retried.
                 log.error("cannot accept connections", cause=str(error))
-                gevent.sleep(0.1)
-                continue
-            try:
+                gevent.sleep(ACCEPT_RETRY_SECONDS)
+                return False
+            # One that was reset before it was handled is left out.
+            with suppress(OSError):
                 self._add_connection(sock, peer)
-            except OSError:
-                continue  # reset before it was handled
+        return True
 
     def _add_connection(self, sock, peer) -> None:
-        connection = Connection(sock, peer[0], self._on_line, self._on_closed, self._stop_reading)
+        connection = Connection(
+            sock, peer[0], self._on_line, self._on_closed, self._stop_reading, pacer=self.input_pacer
+        )
         self.connections.add(connection)
         if victims := self.limiter.add(self.clock(), connection, Connection.is_quiet):
             for victim in victims:
@@ -97,17 +118,14 @@
         self.shutting_down = True
         if not self.listener or self.listener.closed:
             return
-        self.listener.settimeout(0.0)
-        with suppress(OSError):
-            while True:
-                self._add_connection(*self.listener.accept())
+        self._accept_waiting(LISTEN_BACKLOG)
         with suppress(OSError):
             self.listener.close()
 
     def close_all(self) -> None:
         """Handle the input that has arrived, and close every connection; no output is pending by now."""
         for connection in list(self.connections):
-            connection.read_available()
+            connection.read_last()
             connection.close("stopped")
 
     def maintain(self) -> None:
@@ -135,10 +153,15 @@
                 del releases[ref]
         self.early_releases = {ref: until for ref, until in self.early_releases.items() if until > now}
 
-    def read_available(self, ref: str) -> bool:
-        """Handle what has arrived from the viewer of a viewing that is set up; whether that was all of it."""
+    def read_available(self, ref: str) -> float:
+        """Handle what has arrived from the viewer of a viewing that is set up.
+
+        Return after how many seconds the rest may be read; 0.0 if nothing is left.
+        """
         session = self.sessions.get(ref)
-        return session is None or session.connection is None or session.connection.read_available()
+        if session is None or session.connection is None:
+            return 0.0
+        return session.connection.read_available()
 
     # Messages of viewers.
 
--- /dev/null
+++ b/tests/floods.py
@@ -0,0 +1,74 @@
+"""Clients that send at full speed, each from a thread of its own, and read what they are sent."""
+
+import select
+import socket
+import threading
+import time
+from contextlib import suppress
+from itertools import count
+
+from plain_peers import set_up
+
+WINDOW = 500  # messages without an answer that a client may have on its way
+
+
+def unusable_set_up(number: int) -> bytes:
+    """Encode a set-up of a class that does not exist."""
+    return set_up(f"{number:016x}").replace(b'"standard"', b'"gratis"')
+
+
+def usable_first(number: int) -> bytes:
+    """Encode a usable set-up, after that only unusable ones."""
+    return unusable_set_up(number) if number % 10_000 else set_up(f"{number:016x}")
+
+
+class Flood:
+    """Runs `clients` threads until it is closed; `message(number)` encodes what they send."""
+
+    def __init__(self, address, message, clients=1):
+        self.address, self.message, self.stopped = address, message, False
+        self._numbers = count(0x7700_0000)
+        self.sent = 0
+        self._threads = [threading.Thread(target=self._run, daemon=True) for _ in range(clients)]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self):
+        while not self.stopped:
+            with suppress(OSError), socket.create_connection(self.address) as sock:
+                self._use(sock)
+
+    def _use(self, sock):
+        """Keep `WINDOW` messages on their way until the connection ends."""
+        stock = [self.message(next(self._numbers)) for _ in range(WINDOW)]
+        sock.setblocking(False)
+        unsent, unanswered = b"", 0
+        while not self.stopped:
+            if not unsent and unanswered <= WINDOW // 2:
+                batch = stock[: WINDOW - unanswered]
+                unsent, unanswered = b"".join(batch), unanswered + len(batch)
+                self.sent += len(batch)
+            readable, writable, _ = select.select([sock], [sock] if unsent else [], [], 0.1)
+            if writable:
+                unsent = unsent[sock.send(unsent) :]
+            if readable:
+                data = sock.recv(1 << 18)
+                if not data:
+                    return
+                unanswered -= data.count(b"\n")
+
+    def close(self):
+        self.stopped = True
+        for thread in self._threads:
+            thread.join(5.0)
+
+
+def slowest_answer(world, seconds: float) -> float:
+    """Have viewings set up one after the other for that long; return the longest wait for an answer."""
+    viewer, longest, until = world.viewer(), 0.0, time.monotonic() + seconds
+    while time.monotonic() < until:
+        began = time.monotonic()
+        ref = world.request_viewing(viewer)
+        world.until(lambda: viewer.received("up", ref) or viewer.received("down", ref), 30.0)  # noqa: B023
+        longest = max(longest, time.monotonic() - began)
+    return longest
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,54 @@
+"""Peers that never stop sending to the platform's controller."""
+
+import pytest
+from floods import Flood, slowest_answer, unusable_set_up, usable_first
+from helpers import closing
+from node_world import SETTINGS, ProcessWorld, World
+from plain_peers import PlainPeer
+
+DEADLINE_SECONDS = SETTINGS["Grades"][0]["Deadline"] / 1000
+FLOOD_SECONDS = 3.0
+
+
+@pytest.fixture
+def world(tmp_path):
+    yield from closing(World, tmp_path)
+
+
+@pytest.fixture
+def start_process(tmp_path):
+    yield from closing(ProcessWorld, tmp_path)
+
+
+# Guards against: a peer whose input never ends holds the only thread, and no other request is answered.
+@pytest.mark.parametrize(
+    "clients, message",
+    [(1, unusable_set_up), (1, usable_first), (8, unusable_set_up)],
+    ids=["one client", "a usable set-up among the others", "eight clients"],
+)
+def test_clients_that_never_stop_sending_do_not_hold_up_others(start_process, clients, message):
+    w = start_process()
+    flood = Flood(w.address, message, clients)
+    try:
+        assert slowest_answer(w, FLOOD_SECONDS) < DEADLINE_SECONDS
+    finally:
+        flood.close()
+    assert flood.sent > 2000, "the flood was none"
+    # How long the longest turn was without a wait for other input: it leaves time for everything else.
+    w.until(lambda: w.log_lines("figures"), 6.0)
+    assert 0.0 < w.log_lines("figures")[0]["longest_turn"] < 0.1
+
+
+# Guards against: connections that wait to be accepted hold the only thread until none is left.
+def test_open_connections_are_served_between_connections_that_are_accepted(world):
+    w = world(sockets=4096)
+    client = PlainPeer(w.address)
+    client.send(t="hb", ref="01", c=0)
+    w.until(lambda: client.received("hb_ok", "01"))
+    crowd = [PlainPeer(w.address) for _ in range(300)]  # all wait, as the controller does not run meanwhile
+    client.send(t="hb", ref="02", c=0)
+    w.until(lambda: client.received("hb_ok", "02"))
+    assert len(w.node.viewers.connections) < 150
+    w.until(lambda: len(w.node.viewers.connections) == 301)
+    for peer in crowd:
+        peer.close()
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import pytest
 from structlog import DropEvent
 
 from herongap.limiter import (
@@ -13,6 +14,7 @@
     connections_to_close,
 )
 from herongap.observe import LogRateLimiter
+from herongap.platform.turns import TURN_BYTES, InputTurns, TurnPacer
 
 
 def never(client):
@@ -125,3 +127,36 @@
     assert [bool(passes("a")) for _ in range(4)] == [True, True, False, False] and passes("b")
     now[0] = 11.0
     assert passes("a") == {"event": "a", "left_out": 2} and passes("a") == {"event": "a"}
+
+
+# Guards against: many peers that never stop sending take all of the process's time between them.
+def test_turns_of_many_peers_leave_half_of_the_time_for_other_work():
+    now, turn_seconds = 0.0, 0.004
+    pacer = TurnPacer(lambda: now)
+    peers = {f"peer-{i}": 0.0 for i in range(40)}
+    busy = 0.0
+    while now < 10.0:
+        peer, resumes_at = min(peers.items(), key=lambda item: item[1])
+        now = max(now, resumes_at)
+        began = now
+        now += turn_seconds
+        busy += turn_seconds
+        peers[peer] = pacer.next_turn_after(began)
+    # The first turn of each peer comes before any pause.
+    assert busy - len(peers) * turn_seconds <= 0.5 * now
+    assert pacer.pop_longest_turn() == pytest.approx(turn_seconds) and pacer.pop_longest_turn() == 0.0
+
+
+def test_a_connection_pauses_after_a_full_turn_and_not_while_it_waits_for_input():
+    now = 0.0
+    turns = InputTurns(TurnPacer(lambda: now))
+    for _ in range(10):
+        turns.input_handled(TURN_BYTES - 1)
+        turns.input_exhausted()
+        assert turns.pause() == 0.0
+    now = 0.002
+    turns.input_handled(TURN_BYTES - 1)
+    turns.input_handled(1)
+    assert turns.pause() == pytest.approx(0.002)
+    now = 0.004
+    assert turns.pause() == pytest.approx(0.0, abs=1e-9)
