--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -53,10 +53,10 @@
         # Releases that were sent and not acknowledged: those lost with a connection are sent on another.
         self.unacknowledged: dict[str, tuple[Connection, bytes, float]] = {}
         self.connections: set[Connection] = set()
-        # Connections on which viewings were answered as playing, and on which set-ups were answered at all;
-        # the most recent is last.
+        # Connections that may carry releases, the most recent last: those on which viewings began to play,
+        # were handed over or were ended by their viewers, and those on which usable set-ups arrived.
         self.with_viewings: dict[Connection, None] = {}
-        self.with_answers: dict[Connection, None] = {}
+        self.with_set_ups: dict[Connection, None] = {}
         self.input_pacer, self.accept_pacer = TurnPacer(clock), TurnPacer(clock)
         self.ready = self.shutting_down = False
         self.listener = None
@@ -151,6 +151,10 @@
         for releases in (self.pending_releases, self.unacknowledged):
             for ref in [ref for ref, entry in releases.items() if entry[-1] <= now]:
                 del releases[ref]
+                sent = releases is self.unacknowledged
+                log.warning(
+                    "release of a viewing dropped", viewing=ref, sent=sent, viewers=len(self.connections)
+                )
         self.early_releases = {ref: until for ref, until in self.early_releases.items() if until > now}
 
     def read_available(self, ref: str) -> float:
@@ -232,6 +236,7 @@
             connection.send(messages.encode_down(message.ref, messages.CAUSE_FAILED))
             return
         self._record_message(connection)
+        self._may_carry_releases(connection, self.with_set_ups)
         if self.shutting_down or self.limiter.is_overloaded():
             come_back = self.config.deployment.come_back
             connection.send(messages.encode_down(message.ref, messages.CAUSE_BUSY, come_back))
@@ -251,8 +256,7 @@
         self._record_message(connection)
         session = self.sessions[message.ref] = Session(connection, "")
         session.answered = True
-        self.with_viewings[connection] = None
-        self._send_pending_releases(connection)
+        self._may_carry_releases(connection, self.with_viewings)
         floor = next(p.floor for p in self.config.deployment.packages if p.name == request.package)
         # The deciding module remembers a streamer that has left for a while, but no end of a viewing there
         # would be reported.
@@ -269,20 +273,34 @@
 
     def _on_down(self, connection: Connection, message: Message) -> None:
         self._record_message(connection)
-        if (session := self.sessions.get(message.ref)) is None:
-            self.early_releases[message.ref[:64]] = self.clock() + messages.RELEASE_RETENTION_SECONDS
+        ref = message.ref
+        if (session := self.sessions.get(ref)) is None:
+            self._on_down_without_session(connection, ref)
             return
         if not session.answered and session.connection is not connection:
             return  # only the connection that requested a viewing may cancel it
         session.end_known = True
-        connection.send(messages.encode_ack(message.ref))
-        self.host.left(self.clock(), message.ref)
+        connection.send(messages.encode_ack(ref))
+        if session.answered:
+            self._may_carry_releases(connection, self.with_viewings)
+        self.host.left(self.clock(), ref)
+
+    def _on_down_without_session(self, connection: Connection, ref: str) -> None:
+        """Handle the end of a viewing that is not held: it has just ended, or is handed over later."""
+        if ref in self.pending_releases or ref in self.unacknowledged:
+            # Its viewer ends it too, and needs no release any more.
+            self.pending_releases.pop(ref, None)
+            self.unacknowledged.pop(ref, None)
+            connection.send(messages.encode_ack(ref))
+            self._may_carry_releases(connection, self.with_viewings)
+            return
+        self.early_releases[ref[:64]] = self.clock() + messages.RELEASE_RETENTION_SECONDS
 
     def _on_closed(self, connection: Connection) -> None:
         self.connections.discard(connection)
         self.closing.pop(connection, None)
         self.with_viewings.pop(connection, None)
-        self.with_answers.pop(connection, None)
+        self.with_set_ups.pop(connection, None)
         self.limiter.remove(connection)
         for ref, session in list(self.sessions.items()):
             if session.connection is not connection:
@@ -322,17 +340,13 @@
             session.answered = connection.send(up)
             if session.answered:
                 session.reply = up if connection.is_unsent(up) else ""
-                self.with_viewings.pop(connection, None)
-                self.with_viewings[connection] = None
+                self._may_carry_releases(connection, self.with_viewings)
         else:
             del self.sessions[ref]
             if answer.verdict == "blocked":
                 connection.send(messages.encode_down(ref, messages.CAUSE_REFUSED, answer.come_back))
             elif answer.verdict == "aborted":
                 connection.send(messages.encode_down(ref, messages.CAUSE_FAILED))
-        if not connection.closed:
-            self.with_answers[connection] = None
-            self._send_pending_releases(connection)
         if connection.discarding:
             self._close_gracefully(connection)
 
@@ -358,14 +372,20 @@
         self, ref: str, message: bytes, preferred: Connection | None, expires_at: float
     ) -> None:
         """Send a release on the best open connection, and keep it until it is acknowledged."""
-        for connection in (preferred, *reversed(self.with_viewings), *reversed(self.with_answers)):
+        for connection in (preferred, *reversed(self.with_viewings), *reversed(self.with_set_ups)):
             if connection is not None and connection.send(message):
                 self.unacknowledged[ref] = connection, message, expires_at
                 return
-        # No connection to the viewer's side is open: it is sent on the next one.
+        # No connection to the viewer's side is known to be open: it is sent on the next one.
+        log.info("release of a viewing waits", viewing=ref, viewers=len(self.connections))
         self.pending_releases[ref] = message, expires_at
 
-    def _send_pending_releases(self, connection: Connection) -> None:
+    def _may_carry_releases(self, connection: Connection, kind: dict[Connection, None]) -> None:
+        """Note that a connection of that kind comes from viewers, and send what waits for one."""
+        if connection.closed:
+            return
+        kind.pop(connection, None)
+        kind[connection] = None
         pending, self.pending_releases = self.pending_releases, {}
         for ref, (message, expires_at) in pending.items():
             self._deliver_release(ref, message, connection, expires_at)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -199,3 +199,96 @@
     w.until(lambda: client.received("down", ref), 1.5)
     assert [message["c"] for message in client.received("down", ref)] == [41]
     assert second in w.node.host.viewings and not client.received("down", second)
+
+
+# Releases to viewers whose own connections are closed.
+
+
+def viewings_without_connection(world, number, **settings):
+    """Start viewings whose connection then ends; return the world, a streamer's peer and the viewings."""
+    w = world(streamers=1, **settings)
+    (streamer,) = w.streamers.values()
+    client = PlainPeer(w.address)
+    refs = []
+    for _ in range(number):
+        refs.append(w.request_viewing(client))
+        w.until(lambda: client.received("up", refs[-1]))
+    client.close()
+    w.until(lambda: not w.node.viewers.connections)
+    return w, streamer, refs
+
+
+def end_at_streamer(w, streamer, ref):
+    """Have the streamer end a viewing, and wait until the controller knows."""
+    streamer.peers[0].send(t="down", ref=ref, c=16)
+    w.until(lambda: streamer.received_count("ack", ref))
+
+
+# Guards against: a release waits although viewers have a connection open, as no set-up was answered on it.
+@pytest.mark.parametrize("waits", [False, True], ids=["release after it", "release before it"])
+def test_a_release_is_sent_where_a_viewer_ended_another_viewing(world, waits):
+    w, streamer, (first, second) = viewings_without_connection(world, 2)
+    if waits:
+        end_at_streamer(w, streamer, second)
+    other = PlainPeer(w.address)
+    other.send(t="down", ref=first, c=16)
+    w.until(lambda: other.received("ack", first))
+    if not waits:
+        end_at_streamer(w, streamer, second)
+    w.until(lambda: other.received("down", second), 1.0)
+    other.send(t="ack", ref=second)
+    w.until(lambda: not w.node.viewers.unacknowledged)
+    other.close()
+
+
+# Guards against: the same on a connection whose only set-up has no answer yet.
+def test_a_release_is_sent_where_a_set_up_waits_for_its_answer(world):
+    w, streamer, (ref,) = viewings_without_connection(world, 1, **LONG_DEADLINES)
+    streamer.on_set_up = lambda peer, message: None
+    other = PlainPeer(w.address)
+    w.request_viewing(other)
+    w.until(lambda: len(streamer.set_ups) == 2)
+    end_at_streamer(w, streamer, ref)
+    w.until(lambda: other.received("down", ref), 1.0)
+    other.close()
+
+
+# Guards against: the same on a connection whose set-ups an overloaded controller refuses.
+def test_a_release_is_sent_where_a_set_up_was_refused_for_overload(world):
+    w, streamer, (ref,) = viewings_without_connection(world, 1)
+    end_at_streamer(w, streamer, ref)
+    w.node.viewers.limiter.lag = 60.0
+    other = PlainPeer(w.address)
+    refused = w.request_viewing(other)
+    w.until(lambda: other.received("down", refused))
+    assert other.received("down", refused)[0]["c"] == 42
+    w.until(lambda: other.received("down", ref), 1.0)
+    other.close()
+
+
+def test_a_viewer_that_ends_a_viewing_whose_release_waits_is_sent_none(world):
+    w, streamer, (first, second) = viewings_without_connection(world, 2)
+    end_at_streamer(w, streamer, first)
+    end_at_streamer(w, streamer, second)
+    other = PlainPeer(w.address)
+    other.send(t="down", ref=first, c=16)
+    w.until(lambda: other.received("down", second))
+    assert other.received("ack", first) and not other.received("down", first)
+    assert first not in w.node.viewers.early_releases
+    other.close()
+
+
+def test_a_release_is_not_sent_to_a_client_that_never_asked_for_a_viewing(world):
+    w, streamer, (ref,) = viewings_without_connection(world, 1)
+    stranger = PlainPeer(w.address)
+    stranger.send(t="hb", ref="01", c=0)
+    stranger.send(t="down", ref="00000000ffffffff", c=16)
+    unusable = w.request_viewing(stranger, **{"class": "gold"})
+    w.until(lambda: stranger.received("down", unusable))
+    end_at_streamer(w, streamer, ref)
+    other = PlainPeer(w.address)
+    w.request_viewing(other)
+    w.until(lambda: other.received("down", ref))
+    assert not stranger.received("down", ref)
+    stranger.close()
+    other.close()
