--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -54,7 +54,7 @@
         limiter = ConnectionLimiter(config.sockets // 2, config.sockets // 2 + config.sockets // 20)
         self.viewers = self.port.viewers = Viewers(config, self.host, limiter, self.clock)
         self.resolver = Resolver(
-            config.resolver, config.seed, config.racks, config.initial_list.serial, self._on_list
+            config.resolver, config.seed, config.racks, config.initial_list.serial, self._on_list, self.clock
         )
         self.stopped, self.stopping = Event(), False
 
@@ -108,6 +108,7 @@
         """Close everything at once."""
         self.viewers.stop()
         gevent.killall(self._greenlets, block=False)
+        self.resolver.close()
         for connection in (*self.viewers.connections, *self.port.connections()):
             connection.close()
 
@@ -167,7 +168,12 @@
 
     def _longest_turn(self) -> float:
         """Return how long the longest turn of a peer that sends without a break was, since the last call."""
-        pacers = (self.viewers.input_pacer, self.viewers.accept_pacer, self.port.input_pacer)
+        pacers = (
+            self.viewers.input_pacer,
+            self.viewers.accept_pacer,
+            self.port.input_pacer,
+            self.resolver.pacer,
+        )
         return max(pacer.pop_longest_turn() for pacer in pacers)
 
     def _maintain(self) -> None:
@@ -192,6 +198,7 @@
                     streamers=len(self.port.connections()),
                     behind=round(max_lag, 3),
                     longest_turn=round(self._longest_turn(), 3),
+                    slowest_answer=round(self.resolver.pop_slowest_answer(), 3),
                     cpu=round(time.process_time(), 2),
                     **self.host.counts,
                 )
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -6,6 +6,8 @@
 import socket as plain
 import subprocess
 import sys
+import time
+from contextlib import suppress
 
 import dns.flags
 import dns.message
@@ -130,10 +132,15 @@
 
 
 class FakeResolver:
-    """Answers with `world.streamers`; `filter_answer` returns an answer's bytes to send, None to drop it."""
+    """Answers with `world.streamers`; `filter_answer` returns an answer's bytes to send, None to drop it.
+
+    Each answer holds the list of the moment at which it is sent, `delay` seconds after the query; `sent` has
+    that time, the list's serial and the peer.
+    """
 
     def __init__(self, world):
         self.world, self.filter_answer, self.query_count, self.serial = world, lambda data: data, 0, 1
+        self.delay, self.sent = 0.0, []
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(("127.0.0.1", 0))
         self.address = self.sock.getsockname()
@@ -146,8 +153,16 @@
             except OSError:
                 return
             self.query_count += 1
-            out = self.filter_answer(self.answer(data))
-            if out is not None:
+            if self.delay:
+                gevent.spawn_later(self.delay, self._send_answer, data, peer)
+            else:
+                self._send_answer(data, peer)
+
+    def _send_answer(self, query: bytes, peer):
+        out = self.filter_answer(self.answer(query))
+        if out is not None:
+            self.sent.append((time.monotonic(), self.serial, peer))
+            with suppress(OSError):  # closed meanwhile
                 self.sock.sendto(out, peer)
 
     def answer(self, data: bytes) -> bytes:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 from herongap.platform import config, messages, streamer_list
 from herongap.platform.deployment import deployment_config
 from herongap.platform.lines import MAX_LINE_BYTES, LineBuffer, LineTooLongError
+from herongap.platform.queries import OPEN_SECONDS, OpenQueries
 from herongap.platform.shutdown import GracefulShutdown
 
 CONTEXT = messages.MessageContext(frozenset({"standard"}), frozenset({"acme"}), 3, 2)
@@ -289,3 +290,15 @@
         assert config.parse_config(json.dumps(document).encode()).heartbeats_charged is paid
     assert not deployment_config(SETTINGS | {"Allowed": allowed}).probes
     assert not deployment_config(SETTINGS | {"Report": {"Columns": [], "Via": "on_probe"}}).probes
+
+
+def test_a_query_stays_open_until_it_is_answered_or_too_old():
+    queries = OpenQueries(seed=7)
+    ids = [queries.open(now=0.3 * i) for i in range(5)]
+    assert len(set(ids)) == 5
+    assert [queries.age(query_id, 2.0) for query_id in ids] == pytest.approx([2.0, 1.7, 1.4, 1.1, 0.8])
+    queries.close(ids[2])
+    assert queries.age(ids[2], 2.0) is None and queries.age(ids[1], 2.0) is not None
+    assert queries.age(ids[0], OPEN_SECONDS + 0.1) is None
+    queries.close_all()
+    assert all(queries.age(query_id, 2.0) is None for query_id in ids)
