Front: requests and connections that are there already leave time for other clients

A front answered 400 pipelined requests of one connection, or accepted 200 waiting connections, before a client with an open connection got an answer to a single request.

Cause: gevent's recv and accept do not switch to other greenlets while there is input, and a request that is answered at once never waits.

Measured: the two new tests in tests/test_floods.py failed before (400 of 400; 201 accepted) and pass now; tests/test_floods.py, test_front.py and test_parts.py: 53 passed. Suspected and not shown: the readers of streams from streamers and etcd, and of gossip datagrams (docs/incidents/endless-input.md).

--- a/herongap/daemon/http_connection.py
+++ b/herongap/daemon/http_connection.py
@@ -4,6 +4,7 @@
 handled, and it limits neither header counts nor slow senders.
 """
 
+import itertools
 import socket as plain
 import time
 from collections.abc import Callable, Iterable
@@ -20,6 +21,7 @@
 from herongap.daemon.listen import Address
 from herongap.http import Reply, Request, problem
 from herongap.overload import ProcessLimits
+from herongap.platform.turns import MIN_PAUSE_SECONDS, TURN_ACCEPTS
 
 READ_SIZE_BYTES = 65536
 MAX_REPLY_HEAD_BYTES = 65536
@@ -72,6 +74,8 @@
     try:
         while _serve_one(sock, conn, peer, handle, limits):
             conn.start_next_cycle()
+            if _has_input(sock, conn):
+                gevent.sleep(MIN_PAUSE_SECONDS)
     except (PeerDisconnectedError, OSError, h11.LocalProtocolError):
         pass
     finally:
@@ -79,6 +83,15 @@
             sock.close()
 
 
+def _has_input(sock: socket.socket, conn: h11.Connection) -> bool:
+    """Whether the client has sent something of its next request already."""
+    if conn.trailing_data[0]:
+        return True
+    with suppress(OSError):
+        return bool(sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT))
+    return False
+
+
 def _serve_one(sock, conn, peer, handle, limits) -> bool:
     try:
         request = _read_request(sock, conn, peer, limits)
@@ -384,7 +397,9 @@
         self._accepting = gevent.spawn(self._accept)
 
     def _accept(self) -> None:
-        while True:
+        for accepted in itertools.count(1):
+            if accepted % TURN_ACCEPTS == 0:
+                gevent.sleep(MIN_PAUSE_SECONDS)
             try:
                 sock, peer = self.listener.accept()
             except OSError as error:
--- a/tests/plain_peers.py
+++ b/tests/plain_peers.py
@@ -72,8 +72,8 @@
     def send_raw(self, data: bytes):
         self.sock.sendall(data)
 
-    def read(self) -> list[dict]:
-        """Read what has arrived, without waiting; return all complete messages so far."""
+    def receive(self) -> bytes:
+        """Read what has arrived, without waiting; return all bytes so far."""
         with suppress(BlockingIOError):
             try:
                 while not self.ended:
@@ -81,7 +81,11 @@
                     self.data, self.ended = self.data + data, not data
             except ConnectionError:
                 self.ended = True
-        return [json.loads(line) for line in self.data.split(b"\n")[:-1] if line]
+        return self.data
+
+    def read(self) -> list[dict]:
+        """Read what has arrived, without waiting; return all complete messages so far."""
+        return [json.loads(line) for line in self.receive().split(b"\n")[:-1] if line]
 
     def received(self, t: str, ref: str | None = None) -> list[dict]:
         """Return the received messages of type `t`, with the id `ref` if given."""
@@ -89,7 +93,7 @@
 
     def is_closed(self) -> bool:
         """Whether the other side has closed or reset the connection."""
-        self.read()
+        self.receive()
         return self.ended
 
     def reset(self):
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -1,8 +1,10 @@
-"""Peers that never stop sending to the platform's controller."""
+"""Peers that never stop sending: to the platform's controller, and to a front over HTTP."""
 
+import gevent
 import pytest
 from floods import Flood, slowest_answer, unusable_set_up, usable_first
 from helpers import closing
+from loopback import LoopbackFleet
 from node_world import SETTINGS, ProcessWorld, World
 from plain_peers import PlainPeer
 
@@ -20,6 +22,11 @@
     yield from closing(ProcessWorld, tmp_path)
 
 
+@pytest.fixture
+def start_fleet(tmp_path):
+    yield from closing(LoopbackFleet, tmp_path)
+
+
 # Guards against: a peer whose input never ends holds the only thread, and no other request is answered.
 @pytest.mark.parametrize(
     "clients, message",
@@ -52,3 +59,35 @@
     w.until(lambda: len(w.node.viewers.connections) == 301)
     for peer in crowd:
         peer.close()
+
+
+GET = b"GET /nothing HTTP/1.1\r\nHost: front\r\n\r\n"
+NOT_FOUND = b"HTTP/1.1 404"
+
+
+# Guards against: a client that sends its next requests before it is answered holds the front's only thread.
+def test_a_front_serves_others_between_the_requests_of_one_connection(start_fleet):
+    fleet = start_fleet()
+    greedy, usual = PlainPeer(fleet.daemon.address), PlainPeer(fleet.daemon.address)
+    gevent.sleep(0.05)
+    greedy.send_raw(400 * GET)
+    usual.send_raw(GET)
+    fleet.until(lambda: NOT_FOUND in usual.receive())
+    assert greedy.receive().count(NOT_FOUND) < 200
+    fleet.until(lambda: greedy.receive().count(NOT_FOUND) == 400)
+    greedy.close()
+    usual.close()
+
+
+# Guards against: connections that wait to be accepted hold the front's only thread until none is left.
+def test_a_front_serves_others_between_connections_that_are_accepted(start_fleet):
+    fleet = start_fleet()
+    usual = PlainPeer(fleet.daemon.address)
+    gevent.sleep(0.05)
+    crowd = [PlainPeer(fleet.daemon.address) for _ in range(200)]
+    usual.send_raw(GET)
+    fleet.until(lambda: NOT_FOUND in usual.receive())
+    assert len(fleet.daemon.server.open) < 100
+    fleet.until(lambda: len(fleet.daemon.server.open) == 201)
+    for peer in (usual, *crowd):
+        peer.close()
