--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -332,7 +332,7 @@
     refused = [t for t in outcomes if t.kind == "overloaded"]
     assert len(refused) == 9 and all(t.reply.header("retry-after") and t.elapsed < 0.15 for t in refused)
     idle = [socket.create_connection(fleet.daemon.address) for _ in range(60)]
-    gevent.sleep(0.05)
+    fleet.until(lambda: fleet.daemon.overload_guard.open_connections == 40)
     assert fleet.viewer("more").post(1).kind == "overloaded"
     for sock in idle:
         sock.close()
