Turns count the time of handling input, not the time between two messages

Found by reading the change again, before any landing. A turn's length was taken from when the reader last woke. A connection whose input is mostly read by read_available (before each set-up and answer) could fill its 16 KiB over minutes, and its pause would then have been as long: no message of that viewer read, and the turns of all others that send much put off as long again.

Change: a turn adds up the times in which input was handled; read_available ends a turn when nothing is left.

--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -47,7 +47,7 @@
         self.sock, self.peer, self._on_line, self._on_closed = sock, peer, on_line, on_closed
         self._on_oversized = on_oversized or (lambda connection, error: connection.close(str(error)))
         self.input, self.closed, self.cause = LineBuffer(), False, ""
-        self._turns, self._handling = InputTurns(pacer), False
+        self._clock, self._turns, self._handling = pacer.clock, InputTurns(pacer), False
         self.discarding = self.half_closed = self.broken = self._ended = False
         # Messages that the system has not accepted in full; `unsent_bytes` are left. Of the first, `_sent`
         # bytes have been written.
@@ -132,6 +132,7 @@
             if (pause := self._turns.pause()) > 0:
                 return pause if self.has_unread_input() else 0.0
             if not self._read_chunk():
+                self._turns.input_exhausted()
                 break
         return 0.0
 
@@ -201,12 +202,13 @@
         if not data:
             self._end()
             return False
+        began = self._clock()
         self._handling = True
         try:
             self._handle_input(data)
         finally:
             self._handling = False
-        self._turns.input_handled(len(data))
+        self._turns.input_handled(len(data), began)
         return True
 
     def _handle_input(self, data: bytes) -> None:
--- a/herongap/node/resolver.py
+++ b/herongap/node/resolver.py
@@ -125,8 +125,9 @@
                 # Nothing listens at the address: the system reports this once for a query.
                 gevent.sleep(RETRY_DELAY_SECONDS)
                 continue
+            began = self.clock()
             self._handle_datagram(data)
-            turns.input_handled(len(data))
+            turns.input_handled(len(data), began)
 
     def _handle_datagram(self, data: bytes) -> None:
         query_id = int.from_bytes(data[:2], "big")
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -67,7 +67,8 @@
         while not listener.closed:
             began = self.clock()
             if self._accept_waiting(TURN_ACCEPTS):
-                gevent.sleep(self.accept_pacer.next_turn_after(began) - self.clock())
+                now = self.clock()
+                gevent.sleep(self.accept_pacer.next_turn_after(now - began) - now)
                 continue
             listener.settimeout(None)
             with suppress(OSError):  # closed meanwhile
--- a/herongap/platform/turns.py
+++ b/herongap/platform/turns.py
@@ -21,13 +21,12 @@
         self._reserved_until = 0.0
         self._longest_turn = 0.0
 
-    def next_turn_after(self, began: float) -> float:
-        """Return when a peer may be served again whose turn began at that time and ends now."""
-        now = self.clock()
-        duration = max(now - began, MIN_PAUSE_SECONDS)
+    def next_turn_after(self, duration: float) -> float:
+        """Return when a peer may be served again whose turn took that many seconds and ends now."""
+        duration = max(duration, MIN_PAUSE_SECONDS)
         self._longest_turn = max(self._longest_turn, duration)
         # Each turn reserves its own time once more for all other work.
-        self._reserved_until = max(self._reserved_until, now - duration) + 2 * duration
+        self._reserved_until = max(self._reserved_until, self.clock() - duration) + 2 * duration
         return self._reserved_until
 
     def pop_longest_turn(self) -> float:
@@ -41,18 +40,19 @@
 
     def __init__(self, pacer: TurnPacer):
         self._pacer = pacer
-        self._handled_bytes, self._began, self._resumes_at = 0, pacer.clock(), 0.0
+        self._handled_bytes, self._duration, self._resumes_at = 0, 0.0, 0.0
 
     def input_exhausted(self) -> None:
         """Begin a new turn, as all input of the peer has been handled."""
-        self._handled_bytes, self._began = 0, self._pacer.clock()
+        self._handled_bytes, self._duration = 0, 0.0
 
-    def input_handled(self, size: int) -> None:
-        """Count handled bytes; a full turn is followed by a pause."""
+    def input_handled(self, size: int, began: float) -> None:
+        """Count bytes that were handled from that time until now; a full turn is followed by a pause."""
         self._handled_bytes += size
+        self._duration += self._pacer.clock() - began
         if self._handled_bytes >= TURN_BYTES:
-            self._resumes_at = self._pacer.next_turn_after(self._began)
-            self._handled_bytes, self._began = 0, self._resumes_at
+            self._resumes_at = self._pacer.next_turn_after(self._duration)
+            self.input_exhausted()
 
     def pause(self) -> float:
         """Return for how many seconds the connection is not read; 0.0 if it may be read now."""
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -14,7 +14,7 @@
     connections_to_close,
 )
 from herongap.observe import LogRateLimiter
-from herongap.platform.turns import TURN_BYTES, InputTurns, TurnPacer
+from herongap.platform.turns import MIN_PAUSE_SECONDS, TURN_BYTES, InputTurns, TurnPacer
 
 
 def never(client):
@@ -138,10 +138,9 @@
     while now < 10.0:
         peer, resumes_at = min(peers.items(), key=lambda item: item[1])
         now = max(now, resumes_at)
-        began = now
         now += turn_seconds
         busy += turn_seconds
-        peers[peer] = pacer.next_turn_after(began)
+        peers[peer] = pacer.next_turn_after(turn_seconds)
     # The first turn of each peer comes before any pause.
     assert busy - len(peers) * turn_seconds <= 0.5 * now
     assert pacer.pop_longest_turn() == pytest.approx(turn_seconds) and pacer.pop_longest_turn() == 0.0
@@ -151,12 +150,22 @@
     now = 0.0
     turns = InputTurns(TurnPacer(lambda: now))
     for _ in range(10):
-        turns.input_handled(TURN_BYTES - 1)
+        turns.input_handled(TURN_BYTES - 1, now)
         turns.input_exhausted()
         assert turns.pause() == 0.0
-    now = 0.002
-    turns.input_handled(TURN_BYTES - 1)
-    turns.input_handled(1)
+    began, now = now, 0.002
+    turns.input_handled(TURN_BYTES - 1, began)
+    turns.input_handled(1, now)
     assert turns.pause() == pytest.approx(0.002)
     now = 0.004
     assert turns.pause() == pytest.approx(0.0, abs=1e-9)
+
+
+# Guards against: the time between two messages counts as a turn, and the pause after it lasts as long.
+def test_a_connection_that_is_seldom_read_does_not_pause_for_long():
+    now = 0.0
+    turns = InputTurns(TurnPacer(lambda: now))
+    for _ in range(100):
+        now += 10.0
+        turns.input_handled(TURN_BYTES // 50, now)
+        assert turns.pause() <= 2 * MIN_PAUSE_SECONDS
