Platform: releases of unknown viewings are kept up to 10,000 at once

One client that ends unknown viewings at full speed for 8 s took the controller from 35 to 93 MB; on the platform it is killed at 64 to 96.

Cause: Viewers._on_down keeps each release of an unknown viewing for 8 s, since a set-up with `at` may follow it, without a bound on their number.

Change: at most 10,000 are kept (fourteen times what 90 ends a second leave in 8 s); a further one is ignored and logged.

--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -17,6 +17,8 @@
 from herongap.platform.turns import TURN_ACCEPTS, TurnPacer
 
 ACCEPT_RETRY_SECONDS = 0.1  # without a free descriptor
+# Releases of unknown viewings that are kept at once: a client may send any number of them.
+MAX_EARLY_RELEASES = 10_000
 log = structlog.get_logger()
 
 
@@ -295,6 +297,9 @@
             connection.send(messages.encode_ack(ref))
             self._may_carry_releases(connection, self.with_viewings)
             return
+        if len(self.early_releases) >= MAX_EARLY_RELEASES:
+            log.warning("too many releases of unknown viewings; one is ignored", peer=connection.peer)
+            return
         self.early_releases[ref[:64]] = self.clock() + messages.RELEASE_RETENTION_SECONDS
 
     def _on_closed(self, connection: Connection) -> None:
--- a/tests/floods.py
+++ b/tests/floods.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from itertools import count
 
-from plain_peers import set_up
+from plain_peers import encode_line, set_up
 
 WINDOW = 500  # messages without an answer that a client may have on its way
 
@@ -63,6 +63,15 @@
             thread.join(5.0)
 
 
+def release_unknown_viewings(address, seconds: float) -> None:
+    """Send releases of viewings that nobody knows, at full speed; the controller answers none of them."""
+    numbers, until = count(0x9900_0000), time.monotonic() + seconds
+    with socket.create_connection(address) as sock:
+        while time.monotonic() < until:
+            refs = (f"{next(numbers):016x}" for _ in range(WINDOW))
+            sock.sendall(b"".join(encode_line(t="down", ref=ref, c=16) for ref in refs))
+
+
 def slowest_answer(world, seconds: float) -> float:
     """Have viewings set up one after the other for that long; return the longest wait for an answer."""
     viewer, longest, until = world.viewer(), 0.0, time.monotonic() + seconds
