--- a/tests/floods.py
+++ b/tests/floods.py
@@ -72,6 +72,18 @@
             sock.sendall(b"".join(encode_line(t="down", ref=ref, c=16) for ref in refs))
 
 
+def hand_over_unknown_viewings(address, streamer: str, number: int) -> None:
+    """Hand over viewings that the streamer does not play, as a client may that knows its name."""
+    extras = f"home:0;copies:3;top:2;viewer:00000000b4d65521;at:{streamer}"
+    f = {"class": "standard", "left": "9007199254740991", "key": "7f3a9c21e0b4d655", "extras": extras}
+    with socket.create_connection(address) as sock:
+        for i in range(number):
+            sock.sendall(encode_line(t="new", ref=f"{0x5500_0000 + i:016x}", d="", f=f))
+        sock.sendall(encode_line(t="hb", ref="01", c=0))
+        while b"hb_ok" not in sock.recv(1 << 18):
+            continue  # until the controller has handled all that came before
+
+
 def slowest_answer(world, seconds: float) -> float:
     """Have viewings set up one after the other for that long; return the longest wait for an answer."""
     viewer, longest, until = world.viewer(), 0.0, time.monotonic() + seconds
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -4,7 +4,14 @@
 
 import gevent
 import pytest
-from floods import Flood, release_unknown_viewings, slowest_answer, unusable_set_up, usable_first
+from floods import (
+    Flood,
+    hand_over_unknown_viewings,
+    release_unknown_viewings,
+    slowest_answer,
+    unusable_set_up,
+    usable_first,
+)
 from helpers import closing
 from loopback import LoopbackFleet
 from node_world import SETTINGS, ProcessWorld, World
@@ -48,17 +55,34 @@
     assert 0.0 < w.log_lines("figures")[0]["longest_turn"] < 0.1
 
 
+def peak_mb(w) -> float:
+    """Return the most memory that the controller has had."""
+    with open(f"/proc/{w.process.pid}/status") as file:
+        (peak_kb,) = [int(line.split()[1]) for line in file if line.startswith("VmHWM")]
+    return peak_kb / 1024
+
+
+def limit_mb(w) -> float:
+    """Return the memory over which the platform kills the controller."""
+    return json.loads(w.path.read_text())["limits"]["memory_mb"]
+
+
 # Guards against: releases of unknown viewings are kept without a bound, and the process is killed for memory.
 def test_releases_of_unknown_viewings_do_not_fill_the_memory(start_process):
     w = start_process()
     release_unknown_viewings(w.address, 8.0)
-    with open(f"/proc/{w.process.pid}/status") as file:
-        (peak_kb,) = [int(line.split()[1]) for line in file if line.startswith("VmHWM")]
-    limit_mb = json.loads(w.path.read_text())["limits"]["memory_mb"]
-    assert peak_kb / 1024 < limit_mb
+    assert peak_mb(w) < limit_mb(w)
     assert w.log_lines("too many releases of unknown viewings; one is ignored")
 
 
+# Guards against: viewings that are handed over and that no streamer plays are held without a bound.
+def test_handovers_of_unknown_viewings_do_not_fill_the_memory(start_process):
+    w = start_process()
+    flood = gevent.get_hub().threadpool.spawn(hand_over_unknown_viewings, w.address, "s-00000000", 20_000)
+    flood.get(timeout=60.0)
+    assert peak_mb(w) < limit_mb(w)
+
+
 # Guards against: connections that wait to be accepted hold the only thread until none is left.
 def test_open_connections_are_served_between_connections_that_are_accepted(world):
     w = world(sockets=4096)
