--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 # clock, those that start processes or days of their own, and the others; a file in no list is one of the others.
 PYTEST = .venv-ci/bin/python -m pytest -q -p no:cacheprovider
 PURE = $(patsubst %,tests/test_%.py,accord cold design gossip rules)
-PROCESSES = $(patsubst %,tests/test_%.py,etcd fleet floods known_red members processes rehearsal)
+PROCESSES = $(patsubst %,tests/test_%.py,etcd fleet known_red members processes rehearsal)
 test: .venv-ci/made
 	.venv-ci/bin/ruff format --no-cache --check --quiet .
 	.venv-ci/bin/ruff check --no-cache .
