--- a/tests/test_stopped.py
+++ b/tests/test_stopped.py
@@ -16,7 +16,7 @@
 from plain_peers import LONG_DEADLINES, PlainPeer, hold_all_set_ups, send_immediately
 
 from herongap.interface import StreamerStatus
-from herongap.node.resolver import ANSWER_TIMEOUT_SECONDS
+from herongap.node.resolver import REPEAT_AFTER_SECONDS
 
 SUSPENSION_SECONDS = 30.0  # longer than a streamer may be silent before its viewings are lost
 
@@ -115,7 +115,7 @@
     w.resolver.serial += 1
     resolver.sendto(w.resolver.answer(queries[0][0]), queries[0][1])
     send_immediately(held[0][0], t="down", ref=ref, c=34)  # so that the other streamer is tried at once
-    time.sleep(ANSWER_TIMEOUT_SECONDS + 0.1)  # the process is late, and no further query is answered
+    time.sleep(REPEAT_AFTER_SECONDS + 0.1)  # the process is late, and no further query is answered
     w.until(lambda: w.node.host.statuses[other] is StreamerStatus.LEAVING, 0.5)
     gevent.sleep(0.3)
     assert not w.streamers[other].set_ups
