Test of key rotation: keys follow each other less often than a stand-in fetches them

Traced with ten plays beside eight busy processes: the stand-in streamer fetches unknown keys at most once in 1.0 s, and the gaps between two fetches went down to 1.027 and 1.049 s, as keys rotated every 1.2 s; below 1.0 it refuses the token. Keys now rotate every 2.4 s, published 1.0 s ahead, and the player plays for 9 s in place of 4.5, so that as many rotations are seen; all assertions stand. The front and the stand-in are unchanged.

--- a/tests/test_dash_front.py
+++ b/tests/test_dash_front.py
@@ -148,12 +148,13 @@
 
 
 def test_a_key_rotation_during_a_viewing_rejects_no_token(start_fleet):
-    fleet = start_fleet(rotate=1.2, ahead=0.5, token=2)
+    # The stand-in fetches unknown keys once a second at most, so keys must follow each other less often.
+    fleet = start_fleet(rotate=2.4, ahead=1.0, token=2)
     # Keys are reloaded for each manifest.
     fleet.daemon.handler.dash._reload_keys_if_due = fleet.daemon.handler.dash.load
     player = fleet.player()
     player.join()
-    assert player.play(4.5) and set(player.statuses) == {200}
+    assert player.play(9.0) and set(player.statuses) == {200}
     kids = {key.kid for key in fleet.daemon.handler.dash.keys.rotation.keys}
     assert len(kids) >= 2 and sum(st.segments.fetched_at > 0 for st in fleet.streamers) == 1
 
