--- a/review/6/case.py
+++ b/review/6/case.py
@@ -36,7 +36,9 @@
         # The good answer to this set-up does not arrive. The connection is left open and of no further use.
         if TROUBLE and not lost:
             session.connection.lost = True
-            site.record(name, "connection", session.connection.number, "carries nothing to the controller any more")
+            site.record(
+                name, "connection", session.connection.number, "carries nothing to the controller any more"
+            )
         lost.append(session)
         return False
 
@@ -47,7 +49,11 @@
     gevent.sleep(0.5)
     # Of the first two sessions, the one that was set up on that connection comes to its end.
     session = next(
-        (s for s in streamer.sessions.values() if s.stands and s.connection is lost[0].connection and s is not lost[0]),
+        (
+            s
+            for s in streamer.sessions.values()
+            if s.stands and s.connection is lost[0].connection and s is not lost[0]
+        ),
         None,
     )
     if session is None:
--- a/review/small_site.py
+++ b/review/small_site.py
@@ -1,8 +1,8 @@
 """Stand-ins for the cases from 6 on: a small deployment on loopback with one controller of the deploy file.
 
-The controller is a process of its own, started by the line `run` of deploy/balancer.toml. Resolver, streamers and
-viewers are small stand-ins in this process. They keep to the protocol page; where it is silent they behave like
-sound peers. Times are seconds of the Unix clock.
+The controller is a process of its own, started by the line `run` of deploy/balancer.toml. Resolver,
+streamers and viewers are small stand-ins in this process. They keep to the protocol page; where it is silent
+they behave like sound peers. Times are seconds of the Unix clock.
 """
 
 import json
@@ -35,8 +35,8 @@
     return {
         "Allowed": {"Cancelling": True, "ConnIdle": 30000.0, "ConnectTimeout": 250.0, "MaxAttempts": 5,
                     "MaxRetryAfter": 500.0, "PeerMessages": False, "Probes": False, "RetryAfter": True},
-        "FamilyInfo": {"ClassFloor": [0, 1], "ClassScale": [0.7, 1.2], "IsLive": [False, False], "JoinAdds": 1.0,
-                       "KbPerWeight": 9000.0, "KindSlots": [60],
+        "FamilyInfo": {"ClassFloor": [0, 1], "ClassScale": [0.7, 1.2], "IsLive": [False, False],
+                       "JoinAdds": 1.0, "KbPerWeight": 9000.0, "KindSlots": [60],
                        "LadderKb": [159.0, 272.0, 467.0, 802.0, 1376.0],
                        "LevelWorth": [0.29, 0.49, 0.67, 0.84, 1.0], "Places": 4, "RackLinkKb": 90000.0,
                        "Racks": 2, "RefusesFrom": 1.2, "Seats": [0, 0], "Tell": 4000.0, "ToldLate": 910.0,
@@ -123,8 +123,8 @@
 class Streamer:
     """One streamer. `life(ref)` is how long a session stands; `delay` is the time of a set-up.
 
-    It sends a session's release on the connection of its set-up, failing that on any open one, and also on the next
-    connection that is opened.
+    It sends a session's release on the connection of its set-up, failing that on any open one, and also on
+    the next connection that is opened.
     """
 
     def __init__(self, record: Record, name: str, address=("127.0.0.1", 0), life=None, delay=0.06):
@@ -173,7 +173,9 @@
         if message["t"] == "hb":
             connection.send(t="hb_ok", ref=ref, c=1)
             return
-        self.record(self.name, "got on connection", connection.number, message["t"], ref, message.get("c", ""))
+        self.record(
+            self.name, "got on connection", connection.number, message["t"], ref, message.get("c", "")
+        )
         if message["t"] == "new":
             session = self.sessions[ref] = Session(ref, connection, message["f"])
             self.set_ups.append((time.time(), ref))
@@ -193,7 +195,9 @@
             return
         session.stands, session.began = True, time.time()
         self.record(self.name, "answers on connection", session.connection.number, session.ref)
-        session.connection.send(t="up", ref=session.ref, d=f"{self.name} for {session.ref}\r\n", f={"load": "x0:0.2;x1:0.1"})
+        session.connection.send(
+            t="up", ref=session.ref, d=f"{self.name} for {session.ref}\r\n", f={"load": "x0:0.2;x1:0.1"}
+        )
         gevent.spawn_later(self.life(session.ref), self.end, session)
 
     def end(self, session: Session, cause: int = 16) -> None:
@@ -247,7 +251,9 @@
                 priority = int(entry["state"] == "Terminating")
                 text = f'"kind={entry["kind"]}" "cell={entry["cell"]}" "started={entry["started_ms"]}"'
                 weight = entry["weight"] * 10
-                response.answer.append(dns.rrset.from_text(name, 0, "IN", "SRV", f"{priority} {weight} {port} {host}"))
+                response.answer.append(
+                    dns.rrset.from_text(name, 0, "IN", "SRV", f"{priority} {weight} {port} {host}")
+                )
                 response.additional.append(dns.rrset.from_text(host, 0, "IN", "A", address))
                 response.additional.append(dns.rrset.from_text(host, 0, "IN", "TXT", text))
             with suppress(OSError):
@@ -303,7 +309,9 @@
         elif not request.given_up:
             request.answers.append((time.time(), message))
 
-    def ask(self, connection: Lines, package="standard", left=5.0, title="7f3a9c21e0b4d655", **extras) -> Request:
+    def ask(
+        self, connection: Lines, package="standard", left=5.0, title="7f3a9c21e0b4d655", **extras
+    ) -> Request:
         """Send a request; extras name home, copies and top."""
         ref = f"{self.random.getrandbits(64):016x}"
         request = self.requests[ref] = Request(ref, left, connection)
@@ -345,12 +353,14 @@
 
     def list_streamer(self, name: str, cell: int, zone: str, state="Ready", started=0.0) -> None:
         host, port = self.streamers[name].address
-        self.listed[name] = {"id": name, "addr": f"{host}:{port}", "zone": zone, "kind": "std-2c", "cell": cell,
-                             "state": state, "weight": 4, "started_ms": int(started * 1000)}  # fmt: skip
+        self.listed[name] = {"id": name, "addr": f"{host}:{port}", "zone": zone, "kind": "std-2c",
+                             "cell": cell, "state": state, "weight": 4,
+                             "started_ms": int(started * 1000)}  # fmt: skip
 
     def configure(self) -> None:
         event = {"cursor": self.serial,
-                 "nodes": {"version": self.serial, "full": True, "servers": list(self.listed.values())}}  # fmt: skip
+                 "nodes": {"version": self.serial, "full": True,
+                           "servers": list(self.listed.values())}}  # fmt: skip
         self.path.write_text(json.dumps({
             "name": "n0", "listen": "{}:{}".format(*self.address), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
