--- a/review/small_site.py
+++ b/review/small_site.py
@@ -448,6 +448,13 @@
 def play(case, folder: Path, **site_options) -> None:
     """Run a case and exit with its code; `case(site)` returns what broke the rule, or an empty list."""
     site, code = Site(folder, **site_options), 2
+
+    def stop() -> None:
+        site.close()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop)
     try:
         with gevent.Timeout(110):
             broken = case(site)
