--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -391,7 +391,7 @@
             # The streamer may still run and only be cut off from this controller. Then it must release its
             # sessions, as they are no longer controlled.
             self.tear_down(viewing, number, streamer, False)
-            self.host.ended(self.clock(), viewing, number, EndReason.BROKEN)
+        self.host.all_ended(self.clock(), playing, EndReason.BROKEN)
 
     def close(self) -> None:
         """Stop all subscriptions and close all idle connections."""
--- a/herongap/host/host.py
+++ b/herongap/host/host.py
@@ -134,6 +134,19 @@
             self._end(now, viewing, hosted, reason, load)
         self._finish_input(now)
 
+    def all_ended(self, now: float, ends: Iterable[tuple[Id, int]], reason: EndReason) -> None:
+        """Viewings, each with the number of its tune-in, ended together, as their streamer was lost.
+
+        Decisions follow from all ends at once: after each single one, all other viewings of the streamer
+        would be looked at. Those that have ended already are ignored.
+        """
+        ends = tuple(ends)
+        self._begin_input(now, "all_ended", ends, reason)
+        for viewing, number in ends:
+            if hosted := self._current(viewing, number, ViewingState.PLAYING, ViewingState.CLOSING):
+                self._end(now, viewing, hosted, reason, None)
+        self._finish_input(now)
+
     def left(self, now: float, viewing: Id) -> None:
         """The viewer left or ended the viewing; ignored if it has ended already."""
         self._begin_input(now, "left", viewing)
@@ -224,6 +237,10 @@
         valid = hosted is not None and self.statuses.get(hosted.streamer) is StreamerStatus.ACTIVE
         return valid and self.module.may_still_send(now, viewing, ranked)
 
+    def may_adopt(self, streamer: Id) -> bool:
+        """Whether one more viewing may be adopted that is said to play at a streamer."""
+        return self.module.may_adopt(streamer)
+
     def playing_at(self, streamer: Id) -> list[tuple[Id, int]]:
         """The viewings that play at a streamer, with the numbers of their tune-ins."""
         return [
--- a/herongap/host/record.py
+++ b/herongap/host/record.py
@@ -25,6 +25,7 @@
     "started": (Id, int, Id, LoadReport | None),
     "adopted": (ViewingRequest, int, Id, int),
     "ended": (Id, int, EndReason, LoadReport | None),
+    "all_ended": (tuple[tuple[Id, int], ...], EndReason),
     "left": (Id,),
     "torn_down": (Id, int),
     "share_told": (Id, float),
--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -156,8 +156,7 @@
         ]
         if lost:
             log.warning("streamer lost", streamer=name, viewings=len(lost), cause="restarted")
-        for viewing, number in lost:
-            self.host.ended(self.clock(), viewing, number, EndReason.BROKEN)
+            self.host.all_ended(self.clock(), lost, EndReason.BROKEN)
 
     def _measure_lag(self) -> None:
         """Measure how late this process runs its timers."""
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -26,6 +26,7 @@
 from herongap.node.upstream import Address, Attempt, StreamerConnection, Upstream, dial, dial_failure
 from herongap.platform import messages
 from herongap.platform.config import NodeConfig
+from herongap.platform.handovers import MAX_REJECTED_RELEASES_PER_STREAMER
 from herongap.platform.messages import InvalidFieldError, MalformedMessageError, Message
 from herongap.platform.turns import TurnPacer
 
@@ -251,6 +252,12 @@
         """Have the streamer stop a viewing, on `connection` if its set-up was sent there."""
         self._deliver(upstream, messages.encode_down(viewing, messages.CAUSE_ENDED), connection, viewing)
 
+    def release_rejected(self, viewing: str, streamer: str) -> None:
+        """Have a streamer stop a viewing that was not adopted; beyond the limit nothing is sent."""
+        upstream = self.upstreams.get(streamer)
+        if upstream and upstream.kept_messages() < MAX_REJECTED_RELEASES_PER_STREAMER:
+            self._release(upstream, viewing)
+
     def _ensure_connection(self, upstream: Upstream) -> None:
         if not upstream.connecting and self.clock() >= upstream.redial_at:
             upstream.connecting += 1
@@ -321,8 +328,7 @@
         upstream.viewings_lost(cause != "silent")
         for connection in list(upstream.connections):
             connection.close(cause)
-        for viewing, number in lost:
-            self.host.ended(self.clock(), viewing, number, EndReason.BROKEN)
+        self.host.all_ended(self.clock(), lost, EndReason.BROKEN)
 
     def maintain(self) -> None:
         """Close surplus connections, test the streamers that play viewings, and drop what has expired.
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -115,6 +115,10 @@
         }
         return bool(self.pending)
 
+    def kept_messages(self) -> int:
+        """Return how many messages are pending, or were sent and not answered."""
+        return len(self.pending) + len(self.unacknowledged)
+
     def has_unsent(self, now: float) -> bool:
         """Whether a message is pending, or has not been written in full."""
         return not self.delisted and (
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -13,6 +13,7 @@
 from herongap.node.connection import Connection
 from herongap.platform import messages
 from herongap.platform.config import NodeConfig
+from herongap.platform.handovers import MAX_REJECTED_RELEASES, max_held_viewings
 from herongap.platform.messages import InvalidFieldError, MalformedMessageError, Message
 from herongap.platform.turns import TURN_ACCEPTS, TurnPacer
 
@@ -46,6 +47,7 @@
     ):
         self.config, self.host, self.limiter, self.clock = config, host, limiter, clock
         self.sessions: dict[str, Session] = {}
+        self.max_held = max_held_viewings(config.memory_mb)
         # Releases that no open connection could carry, with their expiry, by viewing.
         self.pending_releases: dict[str, tuple[bytes, float]] = {}
         # Viewings that were released but are not held, with the expiry: a set-up with `at` may come later.
@@ -261,12 +263,8 @@
         session.answered = True
         self._may_carry_releases(connection, self.with_viewings)
         floor = next(p.floor for p in self.config.deployment.packages if p.name == request.package)
-        # The deciding module remembers a streamer that has left for a while, but no end of a viewing there
-        # would be reported.
-        if streamer not in self.host.port.upstreams or not self.host.adopted(
-            self.clock(), request, 0, streamer, floor
-        ):
-            self.viewing_ended(message.ref, EndReason.BROKEN)
+        if not self._may_adopt(streamer) or not self.host.adopted(self.clock(), request, 0, streamer, floor):
+            self._reject_handover(connection, message.ref, streamer)
         elif self.early_releases.pop(message.ref, None):
             # Its viewer ended it, on another connection, before this set-up arrived.
             session.end_known = True
@@ -274,6 +272,26 @@
         elif how := self.host.port.pop_early_release(message.ref, streamer):
             self.host.ended(self.clock(), message.ref, 0, how)
 
+    def _may_adopt(self, streamer: str) -> bool:
+        # The deciding module remembers a streamer that has left for a while, but no end of a viewing there
+        # would be reported.
+        return (
+            streamer in self.host.port.upstreams
+            and len(self.host.viewings) < self.max_held
+            and self.host.may_adopt(streamer)
+        )
+
+    def _reject_handover(self, connection: Connection, ref: str, streamer: str) -> None:
+        """Release a viewing that is not adopted, towards its viewer and at its streamer."""
+        log.info("handed over viewing not adopted", viewing=ref, streamer=streamer)
+        session = self.sessions.pop(ref)
+        self.host.port.release_rejected(ref, streamer)
+        message = messages.encode_down(ref, messages.CAUSE_CUT)
+        if len(self.unacknowledged) + len(self.pending_releases) < MAX_REJECTED_RELEASES:
+            self._release(ref, session, message)
+        else:
+            connection.send(message)
+
     def _on_down(self, connection: Connection, message: Message) -> None:
         self._record_message(connection)
         ref = message.ref
--- a/herongap/rules/admission.py
+++ b/herongap/rules/admission.py
@@ -108,6 +108,14 @@
             self.remaining.update((name, self.remaining[name] - 1) for name in names)
             self.state.decisions.append(("charge", viewing.id, viewing.charged_budgets))
 
+    def may_adopt(self, streamer_id: int) -> bool:
+        """Whether one more viewing that plays already may be handed over at a streamer."""
+        # A streamer holds only so many, and none of them can be verified there.
+        streamer, places = self.state.streamers.get(streamer_id), self.state.places
+        return streamer is not None and len(streamer.viewings) < places.get(
+            streamer.entry.kind, max(places.values(), default=0)
+        )
+
     def handed(self, viewing: Viewing) -> None:
         """Counts a viewing that was handed over while it played."""
         windowed = {budget.name for budget in self.budgets if budget.scope is not BudgetScope.VIEWINGS}
--- a/herongap/rules/controller.py
+++ b/herongap/rules/controller.py
@@ -40,6 +40,7 @@
         self.streamers, self.viewings, self.waiting = state.streamers, state.viewings, state.waiting
         self.share_told, self.load_told = state.share_told, self.rung_control.load_told
         self.unplaced, self.due, self.may_still_send = [], self.placement.due, self.slow_start.may_still_send
+        self.may_adopt = self.admission.may_adopt
         self.next_tick_at, self.wake, self.recheck_at = now, -1e9, now
         state.decisions.extend([("follow",)] * config.must_follow)
 
--- a/herongap/rules/rung_control.py
+++ b/herongap/rules/rung_control.py
@@ -3,6 +3,8 @@
 The price of a kB a second decides: what the steps that were taken last are worth on average.
 """
 
+from heapq import heapify, heappop, heappush
+
 from .state import ControllerState, PackageProfile, Streamer, Viewing
 
 # Experiment files set MARK and AHEAD by these names.
@@ -53,21 +55,23 @@
             and viewing.rung < viewing.top
             and now - viewing.rung_set_at >= MIN_RUNG_SECONDS
         ]
-        for viewing in sorted(up, key=lambda viewing: -viewing.package.gain[viewing.rung + 1])[:1]:
-            # All the others here get the same report at the same time, and may all raise on it.
-            rates, use, own = (
-                viewing.package.rates,
-                state.utilization(now, streamer),
-                streamer.link.own / streamer.link.capacity,
-            )
-            for rung in range(viewing.top, viewing.rung, -1):
-                more = max(rates[rung] - rates[viewing.rung], 1e-9) / streamer.link.capacity
-                part = (MARK - use) / (more + max(0.0, use - own) * (rates[rung] / rates[viewing.rung] - 1))
-                if use + more * (1 + self.margin(viewing.package, rung)) <= MARK and (
-                    part >= 1 or (rung == viewing.rung + 1 and state.random_fraction() < part)
-                ):
-                    self.step(now, viewing, rung)
-                    return
+        if not up:
+            return
+        viewing = max(up, key=lambda viewing: viewing.package.gain[viewing.rung + 1])
+        # All the others here get the same report at the same time, and may all raise on it.
+        rates, use, own = (
+            viewing.package.rates,
+            state.utilization(now, streamer),
+            streamer.link.own / streamer.link.capacity,
+        )
+        for rung in range(viewing.top, viewing.rung, -1):
+            more = max(rates[rung] - rates[viewing.rung], 1e-9) / streamer.link.capacity
+            part = (MARK - use) / (more + max(0.0, use - own) * (rates[rung] / rates[viewing.rung] - 1))
+            if use + more * (1 + self.margin(viewing.package, rung)) <= MARK and (
+                part >= 1 or (rung == viewing.rung + 1 and state.random_fraction() < part)
+            ):
+                self.step(now, viewing, rung)
+                return
 
     def cut(self, now: float, streamer: Streamer) -> None:
         """Steps down this controller's part of an overload of a streamer's links, cheapest steps first."""
@@ -87,8 +91,11 @@
             ]
             # Each step costs the viewer: all that one viewing gives up is a single step.
             goal, stepped = link.own * MARK / use, {}
-            while link.own > goal and (down := [v for v in held if v.rung > v.package.floor]):
-                viewing = min(down, key=lambda viewing: viewing.package.gain[viewing.rung])
+            down = [(v.package.gain[v.rung], i) for i, v in enumerate(held) if v.rung > v.package.floor]
+            heapify(down)
+            while link.own > goal and down:
+                _, i = heappop(down)
+                viewing = held[i]
                 # By chance if the step is larger than due: many controllers with a single viewing each must
                 # not all step down.
                 rates = viewing.package.rates
@@ -97,6 +104,8 @@
                     break
                 state.set_rung(now, viewing, viewing.rung - 1)
                 stepped[viewing.id] = viewing
+                if viewing.rung > viewing.package.floor:
+                    heappush(down, (viewing.package.gain[viewing.rung], i))
             for viewing in stepped.values():
                 self.step(now, viewing, viewing.rung)
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -15,9 +15,10 @@
 from helpers import closing
 from loopback import LoopbackFleet
 from node_world import SETTINGS, ProcessWorld, World
-from plain_peers import PlainPeer
+from plain_peers import PlainPeer, hand_over
 
 from herongap.limiter import MAX_LAG_SECONDS
+from herongap.platform.handovers import MAX_REJECTED_RELEASES, MAX_REJECTED_RELEASES_PER_STREAMER
 
 DEADLINE_SECONDS = SETTINGS["Grades"][0]["Deadline"] / 1000
 FLOOD_SECONDS = 3.0
@@ -85,6 +86,42 @@
     assert peak_mb(w) < limit_mb(w)
 
 
+# Guards against: the ends of many viewings at a lost streamer hold the only thread, and nobody is answered.
+def test_usual_requests_are_answered_when_a_streamer_with_handed_over_viewings_is_lost(start_process):
+    w = start_process()
+    flood = gevent.get_hub().threadpool.spawn(hand_over_unknown_viewings, w.address, "s-00000000", 20_000)
+    flood.get(timeout=60.0)
+    w.streamers.pop("s-00000000").kill()
+    w.resolver.serial += 1
+    assert slowest_answer(w, FLOOD_SECONDS) < DEADLINE_SECONDS
+    assert w.log_lines("streamer lost")[0]["viewings"] == SETTINGS["FamilyInfo"]["KindSlots"][0]
+
+
+# Guards against: more viewings are handed over at a streamer than it can play, and each is held.
+def test_viewings_beyond_the_places_of_their_streamer_are_not_adopted(world):
+    w = world(FamilyInfo=SETTINGS["FamilyInfo"] | {"KindSlots": [3]})
+    client = PlainPeer(w.address)
+    refs = [f"{number:016x}" for number in range(1, 6)]
+    for ref in refs:
+        hand_over(w, client, "s-00000000", ref)
+    w.until(lambda: len(client.received("down")) == 2)
+    assert [message["ref"] for message in client.received("down")] == refs[3:]
+    assert list(w.node.host.viewings) == refs[:3]
+    w.until(lambda: all(w.streamers["s-00000000"].received_count("down", ref) for ref in refs[3:]))
+    client.close()
+
+
+# Guards against: releases of viewings that were not adopted are kept without a bound for a silent client.
+def test_releases_of_viewings_that_were_not_adopted_are_kept_up_to_a_limit(world):
+    w = world(FamilyInfo=SETTINGS["FamilyInfo"] | {"KindSlots": [1]})
+    hand_over_all = hand_over_unknown_viewings, w.address, "s-00000000", 3 * MAX_REJECTED_RELEASES
+    gevent.get_hub().threadpool.spawn(*hand_over_all).get(timeout=60.0)
+    viewers = w.node.viewers
+    assert 0 < len(viewers.unacknowledged) + len(viewers.pending_releases) <= MAX_REJECTED_RELEASES
+    (upstream,) = [u for u in w.node.port.upstreams.values() if u.kept_messages()]
+    assert upstream.kept_messages() <= MAX_REJECTED_RELEASES_PER_STREAMER
+
+
 # Guards against: connections that wait to be accepted hold the only thread until none is left.
 def test_open_connections_are_served_between_connections_that_are_accepted(world):
     w = world(sockets=4096)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -54,6 +54,28 @@
     return request.viewing, number, streamer, time_out
 
 
+# Guards against: each end at a lost streamer looks at all other viewings there, in quadratic time.
+def test_viewings_that_end_together_are_followed_by_one_round_of_decisions():
+    record = []
+    host, port = make_host(record)
+    for number in range(50):
+        assert host.adopted(1.0, viewing_request(number), 0, 10, 0)
+    raised = []
+    host.module.rung_control.raise_one = lambda now, streamer: raised.append(streamer)
+    host.all_ended(2.0, [*host.playing_at(10), (49, 7), (99, 0)], EndReason.BROKEN)
+    assert not host.viewings and not host.module.viewings and len(raised) <= 1
+    assert [e[1] for e in port.effects if e[0] == "viewing_ended"] == list(range(50))
+    assert replay(record)[2] is None
+
+
+def test_viewings_are_adopted_up_to_the_places_of_their_streamer():
+    host, _ = make_host()
+    for number in range(host.module.state.places["std"]):
+        assert host.may_adopt(10)
+        host.adopted(1.0, viewing_request(number), 0, 10, 0)
+    assert not host.may_adopt(10) and host.may_adopt(11) and not host.may_adopt(99)
+
+
 @pytest.mark.parametrize("offset, plays", [(-0.001, True), (0.0, False), (0.001, False)])
 def test_a_start_just_before_at_and_just_after_the_time_out(offset, plays):
     host, port = make_host()
