--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -29,8 +29,9 @@
     `on_oversized(connection, error)` for a line that is too long; without it the connection is closed then.
 
     `on_line` may close the connection or set `discarding`; the lines that came with it are then dropped. A
-    `half_closed` connection is only read to its end. A `broken` one was ended by its peer, which may not have
-    read the last messages sent to it. `pacer` spaces the turns of peers that never stop sending.
+    `half_closed` connection is only read to its end, and then is `read_to_end`. A `broken` one was ended by
+    its peer, which may not have read the last messages sent to it. `pacer` spaces the turns of peers that never
+    stop sending.
     """
 
     def __init__(
@@ -48,7 +49,7 @@
         self._on_oversized = on_oversized or (lambda connection, error: connection.close(str(error)))
         self.input, self.closed, self.cause = LineBuffer(), False, ""
         self._clock, self._turns, self._handling = pacer.clock, InputTurns(pacer), False
-        self.discarding = self.half_closed = self.broken = self._ended = False
+        self.discarding = self.half_closed = self.read_to_end = self.broken = self._ended = False
         # Messages that the system has not accepted in full; `unsent_bytes` are left. Of the first, `_sent`
         # bytes have been written.
         self._unsent: deque[bytes] = deque()
@@ -198,8 +199,11 @@
         except (BlockingIOError, InterruptedError):
             return False
         except OSError as error:
-            data, self.cause = b"", self.cause or str(error)
+            self.cause = self.cause or str(error)
+            self._end()
+            return False
         if not data:
+            self.read_to_end = True
             self._end()
             return False
         began = self._clock()
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -173,7 +173,7 @@
             raise ConnectionAbortedError("the streamer's address changed while it was dialled")
         connection = StreamerConnection(sock, upstream, self._on_line, self._on_closed, self.input_pacer)
         upstream.connections.add(connection)
-        upstream.last_was_reset = False
+        upstream.last_was_reset = upstream.release_may_be_lost = False
         upstream.deliver_pending(connection, self.clock())
         return connection
 
@@ -299,11 +299,10 @@
         upstream.connection_closed(connection)
         if other := upstream.pending and upstream.healthy_connection(False, self.clock(), self.idle_limit):
             upstream.deliver_pending(other, self.clock())
-        if not upstream.delisted and (
-            upstream.pending or (not connection.half_closed and self.host.playing_at(upstream.name))
-        ):
-            # A release by the streamer may have been lost with the connection; the streamer sends it again on
-            # the next one.
+        if connection.may_have_lost_messages() and self.host.playing_at(upstream.name):
+            upstream.release_may_be_lost = True
+            log.info("a streamer's release may be lost", streamer=upstream.name, cause=connection.cause)
+        if upstream.needs_connection() and not upstream.delisted:
             self._ensure_connection(upstream)
         for attempt in list(connection.attempts.values()):  # handling one may cancel others
             key = upstream.name, attempt.request.viewing
@@ -344,7 +343,9 @@
         with_attempts = {name for name, _ in self.attempts}
         for upstream in list(self.upstreams.values()):
             upstream.close_surplus(now, self.has_room(), self.idle_limit)
-            if upstream.has_pending(now) and not upstream.delisted:
+            upstream.drop_expired(now)
+            upstream.release_may_be_lost &= playing[upstream.name] > 0
+            if upstream.needs_connection() and not upstream.delisted:
                 self._ensure_connection(upstream)
             if playing[upstream.name]:
                 self._check_liveness(upstream, now)
--- a/herongap/node/upstream.py
+++ b/herongap/node/upstream.py
@@ -56,14 +56,18 @@
     """A connection to a streamer, with the set-ups in flight on it.
 
     `suspected_at` is since when it may be dead, as a set-up on it got no answer; None once the streamer has
-    sent something on it again.
+    sent something on it again. `given_up` says that it was closed as it sent nothing any more.
     """
 
     def __init__(self, sock, upstream: "Upstream", on_line: Callable, on_closed: Callable, pacer: TurnPacer):
         self.upstream, self.attempts = upstream, {}
-        self.last_received, self.suspected_at = pacer.clock(), None
+        self.last_received, self.suspected_at, self.given_up = pacer.clock(), None, False
         super().__init__(sock, upstream.name, on_line, on_closed, pacer=pacer)
 
+    def may_have_lost_messages(self) -> bool:
+        """Whether the streamer may have sent something on this connection, now closed, that never arrived."""
+        return self.given_up or not (self.half_closed and self.read_to_end)
+
 
 class Upstream:
     """One streamer, its connections and its undelivered messages."""
@@ -81,6 +85,9 @@
         self.last_was_reset = False
         # Until when the streamer is not dialled for pending messages.
         self.redial_at = 0.0
+        # Whether a release by the streamer may have been lost with a connection. The streamer sends it again
+        # on the next connection that opens, even if others are open.
+        self.release_may_be_lost = False
 
     def wait_for_dial(self, seconds: float) -> None:
         """Wait until a dial that is under way succeeds or fails, for at most `seconds`."""
@@ -102,27 +109,32 @@
 
     def deliver_pending(self, connection: StreamerConnection, now: float) -> None:
         """Send the pending messages on a connection."""
-        if self.has_pending(now):
+        self.drop_expired(now)
+        if self.pending:
             pending, self.pending = self.pending, []
             for entry in pending:
                 self.deliver(connection, *entry)
 
-    def has_pending(self, now: float) -> bool:
-        """Drop expired messages; whether one is still pending."""
+    def drop_expired(self, now: float) -> None:
+        """Drop the messages that were not delivered in time."""
         self.pending = [entry for entry in self.pending if entry[1] > now]
         self.unacknowledged = {
             viewing: entry for viewing, entry in self.unacknowledged.items() if entry[-1] > now
         }
-        return bool(self.pending)
 
     def kept_messages(self) -> int:
         """Return how many messages are pending, or were sent and not answered."""
         return len(self.pending) + len(self.unacknowledged)
 
+    def needs_connection(self) -> bool:
+        """Whether a connection is to be opened, as something waits for it here or at the streamer."""
+        return bool(self.pending) or self.release_may_be_lost
+
     def has_unsent(self, now: float) -> bool:
         """Whether a message is pending, or has not been written in full."""
+        self.drop_expired(now)
         return not self.delisted and (
-            self.has_pending(now) or any(connection.unsent_bytes for connection in self.connections)
+            bool(self.pending) or any(connection.unsent_bytes for connection in self.connections)
         )
 
     def connection_closed(self, connection: StreamerConnection) -> None:
@@ -164,6 +176,7 @@
             if connection.half_closed:
                 connection.close("the streamer does not close its side")
             else:
+                connection.given_up = connection.suspected_at is not None
                 connection.suspected_at = now
                 connection.half_close()
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -82,6 +82,78 @@
     listener.close()
 
 
+def keep_alive(w, peer):
+    """Have a streamer send something on a connection now and then, so that it never counts as silent."""
+
+    def send():
+        while not peer.is_closed():
+            peer.send(t="wait", ref="00000000000000ff")
+            gevent.sleep(0.2)
+
+    gevent.spawn(send)
+
+
+def world_with_a_lost_answer(world):
+    """Have the answer to a set-up get lost while a viewing plays and another connection is open.
+
+    Return the world, the listener, the client, and the streamer's connection on which nothing arrives any
+    more; the release of a viewing is lost on it too.
+    """
+    w, listener, client, first, ref = world_with_manual_streamer(world)
+    w.node.port._ensure_connection(w.node.port.upstreams["s-00000000"])
+    second = listener.wait_for_connection()
+    w.until(lambda: len(w.node.port.connections()) == 2)
+    set_up = w.request_viewing(client)
+    w.until(lambda: first.received("new", set_up) or second.received("new", set_up))
+    dead, sound = (first, second) if first.received("new", set_up) else (second, first)
+    keep_alive(w, sound)
+    return w, listener, client, dead, ref
+
+
+# Guards against: a release that is lost with an answer is never sent again, as no connection is opened.
+@pytest.mark.parametrize("closes", [False, True], ids=["its end never arrives", "the streamer closes it"])
+def test_a_connection_is_opened_for_releases_that_were_lost_with_an_answer(world, closes):
+    w, listener, client, dead, ref = world_with_a_lost_answer(world)
+    if closes:
+        w.until(dead.is_closed)  # the controller half-closes it
+        dead.close()
+    again = listener.wait_for_connection()
+    again.send(t="down", ref=ref, c=16)
+    w.until(lambda: client.received("down", ref))
+    listener.close()
+
+
+# Guards against: the same, if that connection does not come up at the first try.
+def test_a_connection_for_lost_releases_is_dialled_until_it_opens(world):
+    w, listener, client, dead, ref = world_with_a_lost_answer(world)
+    listener.fill_backlog()
+    w.until(dead.is_closed)
+    dead.close()
+    gevent.sleep(1.0)  # some dials time out
+    listener.clear_backlog()
+    again = listener.wait_for_connection()
+    again.send(t="down", ref=ref, c=16)
+    w.until(lambda: client.received("down", ref))
+    listener.close()
+
+
+# Guards against: a connection is opened for each idle one that is closed, and no release can have been lost.
+def test_no_connection_is_opened_when_an_idle_one_is_closed_by_both_sides(world):
+    w, listener, client, first, ref = world_with_manual_streamer(world)
+    w.node.port._ensure_connection(w.node.port.upstreams["s-00000000"])
+    second = listener.wait_for_connection()
+    w.until(lambda: len(w.node.port.connections()) == 2)
+    keep_alive(w, second)
+    idle = next(c for c in w.node.port.connections() if c.sock.getsockname() == first.sock.getpeername())
+    idle.last_received -= 60.0
+    w.until(first.is_closed)
+    first.close()
+    w.until(lambda: len(w.node.port.connections()) == 1)
+    gevent.sleep(0.6)
+    assert not listener.accept_if_waiting()
+    listener.close()
+
+
 def test_the_process_does_not_exit_while_a_release_is_pending(world):
     w, listener, client, peer, ref = world_with_manual_streamer(world, **LONG_DEADLINES)
     second = w.request_viewing(client)
