--- a/herongap/dash/cmcd.py
+++ b/herongap/dash/cmcd.py
@@ -41,7 +41,7 @@
     if key in INTEGER_KEYS:
         return int(raw) if raw.isascii() and raw.isdigit() and len(raw) < 12 else None
     if key == "pr":
-        return float(raw) if re.fullmatch(r"\d{1,3}(\.\d{1,3})?", raw) else None
+        return float(raw) if re.fullmatch(r"[0-9]{1,3}(\.[0-9]{1,3})?", raw) else None
     if key in TOKEN_KEYS:
         return raw if re.fullmatch(r"[a-z0-9]{1,2}", raw) else None
     if key in STRING_KEYS and len(raw) >= 2 and raw[0] == raw[-1] == '"':
--- a/herongap/etcd/registry_state.py
+++ b/herongap/etcd/registry_state.py
@@ -80,7 +80,7 @@
             return  # listed in `bad_values`, and drained all the same: to send work there would be worse
 
     def _apply_controller(self, name: str, change: KeyChange) -> None:
-        if not name.isdigit():
+        if not (name.isascii() and name.isdigit()):
             self.bad_values[change.key] = "not a controller's number"
             return
         self.controllers.pop(int(name), None)
--- a/herongap/http.py
+++ b/herongap/http.py
@@ -173,6 +173,8 @@
     """The seconds of `Prefer: wait` (RFC 7240, 4.3), which say how long the client will wait."""
     for part in request.headers.get("prefer", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.strip().lower() == "wait" and re.fullmatch(r"\d{1,4}(\.\d{1,3})?", value.strip().strip('"')):
+        if name.strip().lower() == "wait" and re.fullmatch(
+            r"[0-9]{1,4}(\.[0-9]{1,3})?", value.strip().strip('"')
+        ):
             return float(value.strip().strip('"'))
     return None
--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -30,8 +30,8 @@
 
     `on_line` may close the connection or set `discarding`; the lines that came with it are then dropped. A
     `half_closed` connection is only read to its end, and then is `read_to_end`. A `broken` one was ended by
-    its peer, which may not have read the last messages sent to it. `pacer` spaces the turns of peers that never
-    stop sending.
+    its peer, which may not have read the last messages sent to it. `pacer` spaces the turns of peers that
+    never stop sending.
     """
 
     def __init__(
--- a/herongap/platform/messages.py
+++ b/herongap/platform/messages.py
@@ -16,6 +16,10 @@
 
 Number = int | float
 ID_PATTERN = re.compile(r"[0-9a-f]{16}")
+# A number as JSON writes it (RFC 8259, section 6). Python's own conversion takes more: underscores, digits of
+# other scripts, blanks around them.
+NUMBER_PATTERN = re.compile(r"-?(0|[1-9][0-9]*)(\.[0-9]+)?([eE][+-]?[0-9]+)?")
+MAX_NUMBER_LENGTH = 40
 
 # Causes that a controller sends.
 CAUSE_REFUSED = 34  # nothing was started, so a retry is harmless
@@ -82,11 +86,13 @@
 
 
 def parse_number(value: str | Number) -> float:
-    """Return a finite number; raises InvalidFieldError."""
+    """Return a finite number, given as such or as its text in JSON; raises InvalidFieldError."""
+    if isinstance(value, str) and not (len(value) <= MAX_NUMBER_LENGTH and NUMBER_PATTERN.fullmatch(value)):
+        raise InvalidFieldError(f"not a number: {value!r:.40}")
     try:
         result = float(value)
-    except (ValueError, OverflowError) as error:
-        raise InvalidFieldError(f"not a number: {value!r:.40}") from error
+    except OverflowError as error:
+        raise InvalidFieldError(f"not a finite number: {value!r:.40}") from error
     if not math.isfinite(result):
         raise InvalidFieldError(f"not a finite number: {value!r:.40}")
     return result
@@ -133,7 +139,7 @@
         raise InvalidFieldError(f"time left is missing or out of range: {time_left_ms}")
     if length_ms is not None and not 0 <= length_ms <= MAX_DURATION_SECONDS * 1000:
         raise InvalidFieldError(f"length out of range: {length_ms}")
-    home = _parse_integer(extras, "home", 0, 1 << 31)
+    home = _parse_integer(extras, "home", 0, context.cells - 1)
     copies = _parse_integer(extras, "copies", 1, context.cells)
     request = ViewingRequest(
         viewing=message.ref,
@@ -145,8 +151,8 @@
         top=_parse_integer(extras, "top", 0, context.top_rung),
         time_left=time_left_ms / 1000,
         length=None if length_ms is None else length_ms / 1000,
-        moved=extras.get("moved") == "1",
-        is_retry=extras.get("again") == "1",
+        moved=_parse_flag(extras, "moved"),
+        is_retry=_parse_flag(extras, "again"),
     )
     return request, extras.get("at")
 
@@ -158,6 +164,13 @@
     return int(text)
 
 
+def _parse_flag(extras: dict[str, str], name: str) -> bool:
+    text = extras.get(name, "0")
+    if text not in ("0", "1"):
+        raise InvalidFieldError(f"{name} is neither 0 nor 1: {text!r:.40}")
+    return text == "1"
+
+
 def parse_load(message: Message) -> LoadReport | None:
     """Return a streamer's report of its load, None if there is none; raises InvalidFieldError."""
     text = message.text("load")
--- a/herongap/whep/layers.py
+++ b/herongap/whep/layers.py
@@ -4,6 +4,8 @@
 
 from herongap.errors import UnusableInputError
 
+MAX_ENCODING_DIGITS = 4
+
 
 class NoSuchLayerError(UnusableInputError):
     """The requested layer does not exist."""
@@ -19,9 +21,10 @@
 def read_layer(body: bytes, rungs: int) -> int:
     """The rung that a request body selects; raises ValueError."""
     selection = json.loads(body)
-    if not isinstance(selection, dict) or not str(selection.get("encodingId", "")).isdigit():
+    text = str(selection.get("encodingId", "")) if isinstance(selection, dict) else ""
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_ENCODING_DIGITS):
         raise NoSuchLayerError("encodingId is not the number of an encoding")
-    rung = int(selection["encodingId"])
+    rung = int(text)
     if rung >= rungs:
         raise NoSuchLayerError(f"there are {rungs} encodings")
     return rung
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -90,6 +90,49 @@
             assert request.holders and request.holders <= {0, 1, 2} and request.package == "standard"
 
 
+def set_up_with(**changes) -> messages.Message:
+    """Return a set-up of which only these fields differ from a usable one."""
+    usable = {"class": "standard", "left": "900", "key": "7f3a9c21e0b4d655",
+              "extras": "home:2;copies:3;top:1"}  # fmt: skip
+    return messages.Message("new", "0011223344556677", usable | changes, None, "x")
+
+
+OTHER_SCRIPTS = ["\u0661\u0665\u0660\u0660", "\uff11"]
+OUT_OF_RANGE = ["nan", "Infinity", "1e999", "-900", "9" * 41]
+NO_JSON = ["1_500", " 900", "900 ", "900\n", "+900", "0900", "0x9", "9.", ".9", "1e", ""]
+NO_NUMBERS = OTHER_SCRIPTS + OUT_OF_RANGE + NO_JSON
+
+
+# Guards against: a text that Python takes for a number, and JSON does not, is answered as a good set-up.
+@pytest.mark.parametrize("text", NO_NUMBERS, ids=ascii)
+@pytest.mark.parametrize("name", ["left", "hint"])
+def test_a_figure_that_is_no_number_in_json_is_rejected(name, text):
+    with pytest.raises(messages.InvalidFieldError):
+        messages.parse_request(set_up_with(**{name: text}), CONTEXT)
+
+
+# Guards against: a home cell beyond the deployment's cells is taken as the remainder of a division.
+@pytest.mark.parametrize("home", ["3", "4000000", "2147483648", "-1", "1_0", "\u0661", ""])
+def test_a_home_cell_out_of_range_is_rejected(home):
+    with pytest.raises(messages.InvalidFieldError):
+        messages.parse_request(set_up_with(extras=f"home:{home};copies:3;top:1"), CONTEXT)
+
+
+@pytest.mark.parametrize("flag", ["moved:2", "again:yes", "again:"])
+def test_a_flag_that_is_neither_0_nor_1_is_rejected(flag):
+    with pytest.raises(messages.InvalidFieldError):
+        messages.parse_request(set_up_with(extras=f"home:0;copies:3;top:1;{flag}"), CONTEXT)
+
+
+@pytest.mark.parametrize(
+    "text, seconds", [("1500", 1.5), ("8200.0", 8.2), ("1e3", 1.0), (1500, 1.5), ("0.5", 5e-4)]
+)
+def test_figures_as_json_writes_them_are_accepted(text, seconds):
+    request, _ = messages.parse_request(set_up_with(left=text, hint=text), CONTEXT)
+    assert request.time_left == request.length == pytest.approx(seconds)
+    assert request.holders == {2, 0, 1}
+
+
 def test_a_set_up_in_the_form_that_the_platform_sends():
     line = (
         b'{"t":"new","ref":"9b1f03aa5c7e2d41","f":{"class":"standard","left":"1500","tenant":"acme",'
@@ -128,7 +171,7 @@
 def test_load_reports_and_notes_with_values_out_of_range_are_rejected():
     good = messages.Message("up", "a", {"load": "x0:0.5;x1:1.2;queue:3"})
     assert messages.parse_load(good)[0] == 0.5 and messages.parse_load(good).rack == 1.2
-    for text in ("x0:nan", "x0:-1", "x0", "x1:1e9"):
+    for text in ("x0:nan", "x0:-1", "x0", "x1:1e9", "x0:1_0", "x0:\u0661"):
         with pytest.raises(messages.InvalidFieldError):
             messages.parse_load(messages.Message("up", "a", {"load": text}))
     for f in ({"note": "served"}, {"note": "served", "value": "inf"}, {"note": "loud", "value": "1"}):
