Front: a highest rung that is no number leaves no session without an end

Callers saw: POST with `?top=` in a superscript digit, or in 5,000 digits, got 500; its session and offer stayed in the process for good.

Cause: `isdigit` is true for texts that `int` does not take, and the session was registered before that.

Change: up to four ASCII digits count, any other text is ignored as letters were; the session is registered once its request is complete.

--- a/herongap/daemon/session_service.py
+++ b/herongap/daemon/session_service.py
@@ -25,6 +25,7 @@
 from herongap.overload import OverloadGuard
 
 MAX_REMEMBERED_REQUESTS = 100_000
+MAX_RUNG_DIGITS = 4
 ANSWER_TIMEOUT_SECONDS = 660.0  # only guards against an error in the host, which answers within the patience
 log = structlog.get_logger()
 
@@ -52,6 +53,12 @@
     top: str = ""
 
 
+def highest_requested_rung(text: str, otherwise: int) -> int:
+    """Return the rung that a client names in ASCII digits; `otherwise` for any other text."""
+    valid = text.isascii() and text.isdigit() and len(text) <= MAX_RUNG_DIGITS
+    return int(text) if valid else otherwise
+
+
 class SessionService:
     """Authenticates requests and creates sessions for all protocol handlers.
 
@@ -145,8 +152,6 @@
             request.repeat_key,
             request.digest,
         )
-        self.port.sessions[viewing] = session
-        self.repeats.add(request.repeat_key, request.digest, viewing)
         viewing_request = ViewingRequest(
             viewing=viewing,
             viewer=request.viewer,
@@ -154,7 +159,7 @@
             member=(self.site.tokens[request.owner].member or None) if request.owner else None,
             title=request.title,
             holders=frozenset(request.holders),
-            top=min(package.top, int(request.top)) if request.top.isdigit() else package.top,
+            top=min(package.top, highest_requested_rung(request.top, package.top)),
             time_left=max(0.0, request.patience - self.site.front.answer_ahead),
             length=None,
             moved=False,
@@ -163,6 +168,8 @@
         log.debug(
             "viewing requested", viewing=viewing, package=request.package, title=request.title, peer=peer.name
         )
+        self.port.sessions[viewing] = session
+        self.repeats.add(request.repeat_key, request.digest, viewing)
         self.setting_up += 1
         session.answered.rawlink(lambda _: self._setup_finished())
         self.host.asked(self.clock(), viewing_request)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 from gevent import socket
-from loopback import LoopbackFleet
+from loopback import KIND, LoopbackFleet
 
 from herongap.daemon.http_connection import ClientConnection
 from herongap.daemon.run import Daemon
@@ -322,6 +322,15 @@
     assert viewer.post(2).status == 201 and fleet.session_count() == 1
 
 
+# Guards against: a highest rung in digits that Python's `int` does not take leaves a session without an end.
+@pytest.mark.parametrize("top", ["%C2%B2", "%D9%A1", "9" * 5000], ids=["superscript", "Arabic-Indic", "long"])
+def test_a_highest_rung_that_is_no_number_is_ignored(start_fleet, top):
+    fleet = start_fleet()
+    assert fleet.viewer(target=f"/whep/1?top={top}").post(2.0).status == 201
+    (viewing,) = fleet.daemon.host.viewings.values()
+    assert viewing.request.top == len(KIND.ladder) - 1
+
+
 def test_an_overloaded_controller_rejects_at_once_and_keeps_its_viewings(start_fleet):
     fleet = start_fleet(extra="[limits]\nsetting_up = 3\nconnections = 40\n")
     held = fleet.viewer("held")
