--- a/herongap/daemon/http_connection.py
+++ b/herongap/daemon/http_connection.py
@@ -19,9 +19,10 @@
 
 from herongap.daemon.errors import PeerDisconnectedError
 from herongap.daemon.listen import Address
+from herongap.daemon.request_reader import RequestReader
 from herongap.http import Reply, Request, problem
-from herongap.overload import ProcessLimits
-from herongap.platform.turns import MIN_PAUSE_SECONDS, TURN_ACCEPTS
+from herongap.overload import ProcessLimits, RequestMemory
+from herongap.platform.turns import MIN_PAUSE_SECONDS, TURN_ACCEPTS, TurnPacer
 
 READ_SIZE_BYTES = 65536
 MAX_REPLY_HEAD_BYTES = 65536
@@ -65,17 +66,27 @@
 
 
 def serve(
-    sock: socket.socket, name: str, handle: Callable[[Request, Peer], Reply], limits: ProcessLimits
+    sock: socket.socket,
+    name: str,
+    handle: Callable[[Request, Peer], Reply],
+    limits: ProcessLimits,
+    memory: RequestMemory,
+    pacer: TurnPacer,
 ) -> None:
-    """Serve one connection until it ends. `handle` may block; an exception of it is answered with 500."""
+    """Serve one connection until it ends. `handle` may block; an exception of it is answered with 500.
+
+    A client whose next request is there already is served again when `pacer` says so.
+    """
     sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header)
-    peer = Peer(sock, name)
+    peer, reader = Peer(sock, name), RequestReader(sock, conn, name, limits, memory)
     try:
-        while _serve_one(sock, conn, peer, handle, limits):
+        while _serve_one(sock, conn, peer, reader, handle, limits):
             conn.start_next_cycle()
-            if _has_input(sock, conn):
-                gevent.sleep(MIN_PAUSE_SECONDS)
+            if reader.has_input():
+                now = pacer.clock()
+                gevent.sleep(pacer.next_turn_after(reader.busy_seconds) - now)
+            reader.busy_seconds = 0.0
     except (PeerDisconnectedError, OSError, h11.LocalProtocolError):
         pass
     finally:
@@ -83,18 +94,16 @@
             sock.close()
 
 
-def _has_input(sock: socket.socket, conn: h11.Connection) -> bool:
-    """Whether the client has sent something of its next request already."""
-    if conn.trailing_data[0]:
-        return True
-    with suppress(OSError):
-        return bool(sock._sock.recv(1, plain.MSG_PEEK | plain.MSG_DONTWAIT))
-    return False
+def _serve_one(sock, conn, peer, reader, handle, limits) -> bool:
+    try:
+        return _answer_next(sock, conn, peer, reader, handle, limits)
+    finally:
+        reader.finish()
 
 
-def _serve_one(sock, conn, peer, handle, limits) -> bool:
+def _answer_next(sock, conn, peer, reader, handle, limits) -> bool:
     try:
-        request = _read_request(sock, conn, peer, limits)
+        request = reader.read()
     except h11.RemoteProtocolError as error:
         kind = "header-too-large" if error.error_status_hint == 431 else "bad-request"
         _send(sock, conn, problem(kind, str(error)), "", limits, close=True)
@@ -122,65 +131,6 @@
     return type(error), error, error.__traceback__
 
 
-def _read_request(sock, conn, peer, limits) -> Request | Reply | None:
-    head = None
-    body, size = [], 0
-    deadline = time.monotonic() + limits.idle_seconds
-    started = False
-    while True:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            if head is not None and conn.they_are_waiting_for_100_continue:
-                _write(sock, conn.send(h11.InformationalResponse(status_code=100, headers=[])), limits)
-            try:
-                data = _receive(sock, deadline)
-            except gevent.Timeout:
-                if started:
-                    raise
-                return None  # an idle connection is closed without a reply
-            if not data and head is None and not started:
-                return None
-            if not started:
-                # One deadline for the whole head: a byte a second must not hold a connection for hours.
-                started, deadline = True, time.monotonic() + limits.header_seconds
-            conn.receive_data(data)
-        elif isinstance(event, h11.Request):
-            head = event
-            deadline = time.monotonic() + limits.body_seconds
-            length = dict(event.headers).get(b"content-length")
-            if length is not None and int(length) > limits.body:
-                # Refused before the body is read, so that a client need not send a hundred megabytes first.
-                return problem("too-large", f"at most {limits.body} bytes")
-        elif isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > limits.body:
-                return problem("too-large", f"at most {limits.body} bytes")
-            body.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return _request(head, b"".join(body), peer)
-        else:  # ConnectionClosed or PAUSED
-            return None
-
-
-def _request(head: h11.Request, body: bytes, peer: Peer) -> Request:
-    headers: dict[str, str] = {}
-    for name, value in head.headers:
-        name, value = name.decode("ascii"), value.decode("latin-1")
-        headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    return Request(head.method.decode("ascii"), head.target.decode("latin-1"), headers, body, peer.name)
-
-
-def _receive(sock, deadline: float) -> bytes:
-    left = deadline - time.monotonic()
-    if left <= 0:
-        raise gevent.Timeout(0)
-    sock.settimeout(left)
-    try:
-        return sock.recv(READ_SIZE_BYTES)
-    except TimeoutError as error:
-        raise gevent.Timeout(left) from error
-
-
 def _write(sock, data: bytes, limits) -> None:
     sock.settimeout(limits.write_seconds)
     try:
@@ -394,6 +344,7 @@
         )
         self.address: Address = listener.getsockname()
         self.open: set = set()
+        self.memory, self.pacer = RequestMemory(limits.pending_bytes), TurnPacer(time.monotonic)
         self._accepting = gevent.spawn(self._accept)
 
     def _accept(self) -> None:
@@ -417,7 +368,7 @@
 
     def _serve(self, sock, name: str) -> None:
         try:
-            serve(sock, name, self.handle, self.limits)
+            serve(sock, name, self.handle, self.limits, self.memory, self.pacer)
         finally:
             self.open.discard(sock)
             if self.overload_guard:
--- a/herongap/ini/sections.py
+++ b/herongap/ini/sections.py
@@ -251,7 +251,9 @@
     pace: Rate = ProcessLimits().pace
     burst: Annotated[float, Field(ge=1)] = ProcessLimits().burst
     header: Annotated[int, Field(ge=1024)] = ProcessLimits().header
+    header_fields: Annotated[int, Field(ge=16)] = ProcessLimits().header_fields
     body: Annotated[int, Field(ge=1024)] = ProcessLimits().body
+    pending_bytes: Annotated[int, Field(ge=1024)] = ProcessLimits().pending_bytes
     header_seconds: Annotated[float, Field(gt=0)] = ProcessLimits().header_seconds
     body_seconds: Annotated[float, Field(gt=0)] = ProcessLimits().body_seconds
     idle_seconds: Annotated[float, Field(gt=0)] = ProcessLimits().idle_seconds
--- a/herongap/overload.py
+++ b/herongap/overload.py
@@ -18,7 +18,9 @@
     pace: float = 200.0
     burst: float = 400.0
     header: int = 16384
+    header_fields: int = 100
     body: int = 65536
+    pending_bytes: int = 8 << 20
     header_seconds: float = 5.0
     body_seconds: float = 5.0
     idle_seconds: float = 30.0
@@ -26,6 +28,33 @@
     lag: float = 0.25
 
 
+class RequestMemory:
+    """The bytes of large requests that a process holds at one time, `limit` at most.
+
+    Small requests are not counted, so that clients that leave large ones unfinished harm no usual client.
+    """
+
+    SMALL_REQUEST_BYTES = 8192
+
+    def __init__(self, limit: int):
+        self.limit, self.used = limit, 0
+
+    def grow(self, size: int, new_size: int) -> bool:
+        """Whether a request may grow from one size to another; if so, it is counted with the new one."""
+        more = self._counted(new_size) - self._counted(size)
+        if more and self.used + more > self.limit:
+            return False
+        self.used += more
+        return True
+
+    def release(self, size: int) -> None:
+        """Stop counting a request of that size."""
+        self.used -= self._counted(size)
+
+    def _counted(self, size: int) -> int:
+        return max(0, size - self.SMALL_REQUEST_BYTES)
+
+
 class OverloadGuard:
     """Counts connections, requests and lag of one process, and decides what it rejects."""
 
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import selectors
 import socket
 import subprocess
@@ -19,6 +20,8 @@
 DESCRIPTION = "0011223344556677\r\nc=IN IP4 10.0.0.1\r\nm=audio 1 RTP/AVP 0\r\n"
 MAX_LINE_BYTES = 16384
 RECEIVE_BYTES = 1 << 18
+# Each process comes from an address of its own, as servers limit the connections of one peer.
+SOURCE = f"127.1.{os.getpid() % 250}.1", 0
 
 Address = tuple[str, int]
 
@@ -135,6 +138,7 @@
         if small_buffer:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
         self.sock.settimeout(1.0)
+        self.sock.bind(SOURCE)
         self.sock.connect(address)
         self.sock.setblocking(False)
         self.unsent, self.due = b"", 0.0
@@ -211,6 +215,7 @@
     "half_heads": lambda n: iter([(3600.0, LARGE_HEAD[:16000])]),
     "half_bodies": lambda n: iter([(3600.0, LARGE_BODY[:-20])]),
     "slow_bodies": lambda n: in_pieces(LARGE_BODY, 1000, 0.06),
+    "crowd_of_pages": lambda n: ((0.0, 20 * MESSAGES["get"](n)) for _ in count()),
     "crowd_of_heads": lambda n: ((0.0, LARGE_HEAD[:15000] + b"\r\n") for _ in count()),
 }
 # The same for connections that never read what they are sent.
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -52,6 +52,7 @@
 [catalogue]
 file = catalogue.json
 """
+FRONT_PATIENCE_SECONDS = 1.2  # of the default package
 KIND = MachineProfile(
     (100.0, 300.0, 900.0), (0.3, 0.6, 1.0), 10000.0, 50000.0, 40, warm_up=4.0, set_up=(0.001, 0.01)
 )
@@ -81,13 +82,17 @@
         self.write_list()
         (folder / "front.ini").write_text(INI + extra)
         self.client_events = []
-        self.start(make_controller, clock)
+        self.start_daemon(make_controller, clock)
 
-    def start(self, make_controller, clock) -> None:
+    def start_daemon(self, make_controller, clock) -> None:
         """Start the daemon."""
         self.daemon = Daemon(read_site_config(self.folder / "front.ini"), make_controller, clock)
         self.daemon.start()
-        self.address = self.daemon.address
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address at which the daemon serves."""
+        return self.daemon.address
 
     def write_catalogue(self, titles) -> None:
         (self.folder / "catalogue.json").write_text(json.dumps({"titles": titles}))
@@ -130,7 +135,9 @@
 class ProcessFleet(LoopbackFleet):
     """The same with the daemon in a process of its own, as `herongap serve` starts it."""
 
-    def start(self, make_controller, clock) -> None:
+    address = None
+
+    def start_daemon(self, make_controller, clock) -> None:
         self.log = open(self.folder / "log", "w")  # noqa: SIM115
         command = [sys.executable, "-c", "from herongap.cli import main; main()", "serve"]
         self.process = subprocess.Popen(
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -1,15 +1,22 @@
 """Hostile clients in processes of their own: memory stays within its limit, usual requests are answered."""
 
 import gc
+import time
 import weakref
 
 import pytest
 from floods import limit_mb, peak_mb, slowest_answer
-from helpers import closing
+from helpers import closing, until
 from hostile_clients import CROWDS, HostileClient
+from loopback import FRONT_PATIENCE_SECONDS, ProcessFleet
 from node_world import SETTINGS, ProcessWorld, World
 from plain_peers import PlainPeer
 
+from herongap.daemon.http_connection import Server
+from herongap.daemon.listen import listen
+from herongap.http import Reply
+from herongap.overload import ProcessLimits, RequestMemory
+
 DEADLINE_SECONDS = SETTINGS["Grades"][0]["Deadline"] / 1000
 MOST_DESCRIPTORS = 1024
 SECONDS = 6.0
@@ -26,6 +33,9 @@
     "accepted": ["new_titles", "long_descriptions", "cancelled", "handed_over", "handed_over_and_ended"],
 }
 
+FRONT_MEMORY_MB = 192  # the most that the platform gives a controller
+FRONT_FLOODS = ["get", "get_new_names", "delete_unknown", "post_unsound", "unreadable", "many_fields"]
+
 
 @pytest.fixture
 def world(tmp_path):
@@ -37,6 +47,11 @@
     yield from closing(ProcessWorld, tmp_path)
 
 
+@pytest.fixture
+def start_front(tmp_path):
+    yield from closing(ProcessFleet, tmp_path)
+
+
 @pytest.fixture
 def start_clients():
     clients = []
@@ -90,3 +105,67 @@
     finally:
         gc.enable()
         client.close()
+
+
+# The front, `herongap serve`.
+
+
+def front_waits(front) -> list[float]:
+    """Have viewings set up at the front, one after the other; return the wait of each for its answer."""
+    waits, until = [], time.monotonic() + SECONDS
+    while time.monotonic() < until:
+        viewer = front.viewer(f"usual-{len(waits)}")
+        result = viewer.post(4 * FRONT_PATIENCE_SECONDS)
+        assert result.status == 201, result
+        waits.append(result.elapsed)
+        viewer.delete()
+    return waits
+
+
+# Guards against: clients whose requests cost much to parse, or follow at once, hold up others at the front.
+@pytest.mark.parametrize("names", [["crowd_of_pages"], ["crowd_of_heads"], FRONT_FLOODS], ids=lambda n: n[0])
+def test_a_front_answers_usual_requests_beside_clients_at_full_speed(start_front, start_clients, names):
+    front = start_front()
+    clients = start_clients(names, front.address)
+    assert max(front_waits(front)) < FRONT_PATIENCE_SECONDS
+    counts = [client.finish() for client in clients]
+    assert sum(c.get("sent", 0) for c in counts) > 5000 or counts[0].get("most", 0) > 400, "they did no harm"
+
+
+# Guards against: hundreds of clients that stop half way through a large request fill the front's memory.
+def test_unfinished_requests_do_not_fill_the_memory_of_a_front(start_front, start_clients):
+    front = start_front()
+    clients = start_clients(4 * ["half_bodies"], front.address)
+    front_waits(front)
+    assert peak_mb(front) < FRONT_MEMORY_MB
+    assert sum(client.finish()["connections"] for client in clients) > 2000, "they did no harm"
+
+
+def test_large_requests_are_counted_beyond_a_small_size_until_they_are_answered():
+    memory = RequestMemory(10_000)
+    small = RequestMemory.SMALL_REQUEST_BYTES
+    assert memory.grow(0, small) and memory.used == 0
+    assert memory.grow(small, small + 6_000) and memory.used == 6_000
+    assert not memory.grow(0, small + 4_001) and memory.used == 6_000
+    assert memory.grow(0, small + 4_000) and memory.grow(0, small)
+    memory.release(small + 6_000)
+    memory.release(small + 4_000)
+    assert memory.used == 0
+
+
+# Guards against: a request that is refused or given up half way is counted for good.
+@pytest.mark.parametrize("request_bytes, status", [
+    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n" + b"x" * 40_000, b"200"),
+    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n" + b"x" * 39_000, b"408"),
+    (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n" + b"x" * 15_000, b"400"),
+    (b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 101, b"431"),
+], ids=["answered", "too slow", "malformed", "many fields"])  # fmt: skip
+def test_the_memory_of_a_request_is_given_back(request_bytes, status):
+    limits = ProcessLimits(body_seconds=0.3, header_seconds=0.3)
+    server = Server(listen(("127.0.0.1", 0)), lambda request, peer: Reply(200, (), b""), limits)
+    client = PlainPeer(server.address)
+    client.send_raw(request_bytes)
+    until(lambda: client.receive().startswith(b"HTTP/1.1 " + status))
+    until(lambda: not server.memory.used, 2.0)
+    client.close()
+    server.close()
