--- a/herongap/daemon/recovery.py
+++ b/herongap/daemon/recovery.py
@@ -42,7 +42,9 @@
             )  # fmt: skip
             session.remote = RemoteSession(*entry.remote) if entry.remote else None
             self.port.sessions[entry.request.viewing] = session
-            self.service.repeats.add(session.repeat_key, session.digest, entry.request.viewing)
+            self.service.register_repeats(
+                entry.request.viewing, session.repeat_key, session.digest, entry.request.package
+            )
             if entry.protocol != "dash":
                 self.sessions_by_secret[entry.secret] = session
 
--- a/herongap/daemon/session_service.py
+++ b/herongap/daemon/session_service.py
@@ -21,11 +21,12 @@
 from herongap.host import Host, RepeatDetector, RepeatMatch
 from herongap.http import Reply, Request, bearer_token, problem
 from herongap.ini import Catalogue, SiteConfig
-from herongap.interface import EndReason, ViewingRequest
+from herongap.interface import EndReason, RepeatSafety, ViewingRequest
 from herongap.overload import OverloadGuard
 
 MAX_REMEMBERED_REQUESTS = 100_000
 MAX_RUNG_DIGITS = 4
+Id = int | str
 ANSWER_TIMEOUT_SECONDS = 660.0  # only guards against an error in the host, which answers within the patience
 log = structlog.get_logger()
 
@@ -169,12 +170,19 @@
             "viewing requested", viewing=viewing, package=request.package, title=request.title, peer=peer.name
         )
         self.port.sessions[viewing] = session
-        self.repeats.add(request.repeat_key, request.digest, viewing)
+        self.register_repeats(viewing, request.repeat_key, request.digest, request.package)
         self.setting_up += 1
         session.answered.rawlink(lambda _: self._setup_finished())
         self.host.asked(self.clock(), viewing_request)
         return session
 
+    def register_repeats(self, viewing: Id, repeat_key: tuple, digest: str, package_name: str) -> None:
+        """Have requests with that key join the viewing."""
+        package = self.packages.get(package_name)
+        # The next viewing of that key would have another id, by which no streamer recognises the repeat.
+        harmful = package is None or package.repeat is not RepeatSafety.HARMLESS
+        self.repeats.add(repeat_key, digest, viewing, harmful)
+
     def _setup_finished(self) -> None:
         self.setting_up -= 1
 
@@ -206,6 +214,7 @@
             self.host.left(self.clock(), session.viewing)
 
     def _session_closed(self, session: Session, played: bool) -> None:
-        self.repeats.remove(self.clock(), session.viewing, played)
+        may_have_run = session.answer is not None and session.answer.may_have_run
+        self.repeats.remove(self.clock(), session.viewing, played, may_have_run)
         for callback in self.on_session_closed:
             callback(session)
--- a/herongap/host/repeats.py
+++ b/herongap/host/repeats.py
@@ -30,6 +30,8 @@
         self.remember, self.most = remember, most
         self.held: dict[tuple, tuple[Id, str]] = {}
         self.keys: dict[Id, tuple] = {}
+        # Held viewings that must never be set up twice.
+        self.harmful: set[Id] = set()
         self.ended: OrderedDict[tuple, float] = OrderedDict()
 
     def match(self, now: float, key: tuple, offer: str) -> tuple[RepeatMatch, Id | None]:
@@ -41,16 +43,23 @@
             return (RepeatMatch.JOIN, viewing) if first_offer == offer else (RepeatMatch.CONFLICT, None)
         return (RepeatMatch.ENDED, None) if key in self.ended else (RepeatMatch.NEW, None)
 
-    def add(self, key: tuple, offer: str, viewing: Id) -> None:
-        """Notes the viewing that was taken on for a key."""
+    def add(self, key: tuple, offer: str, viewing: Id, harmful: bool = False) -> None:
+        """Notes the viewing that was taken on for a key; `harmful` if it must never be set up twice."""
         self.held[key] = viewing, offer
         self.keys[viewing] = key
+        if harmful:
+            self.harmful.add(viewing)
 
-    def remove(self, now: float, viewing: Id, played: bool) -> None:
-        """Notes the end of a viewing. If it never played its key is free at once, as its viewer may retry."""
+    def remove(self, now: float, viewing: Id, played: bool, may_have_run: bool = False) -> None:
+        """Notes the end of a viewing. If it never played its key is free at once, as its viewer may retry.
+
+        Not so if it must not be set up twice and `may_have_run`.
+        """
         if (key := self.keys.pop(viewing, None)) is None:
             return
         del self.held[key]
-        if played:
+        harmful = viewing in self.harmful
+        self.harmful.discard(viewing)
+        if played or (harmful and may_have_run):
             self.ended[key] = now + self.remember
             self.ended.move_to_end(key)
--- a/herongap/host/viewing.py
+++ b/herongap/host/viewing.py
@@ -6,6 +6,9 @@
 from herongap.errors import InternalMisuseError
 from herongap.interface import EndReason, ViewingRequest
 
+# How a tune-in ends that has certainly not started anything.
+REASONS_WITHOUT_RUN = (EndReason.FULL, EndReason.UNREACHED, EndReason.NOT_SENT)
+
 
 class InvalidTransitionError(InternalMisuseError):
     """A change of a viewing that its state does not allow."""
@@ -44,6 +47,13 @@
     come_back: float = 0.0
     cause: EndReason | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a streamer may have played the viewing, though perhaps its viewer was never told."""
+        if self.verdict == "plays":
+            return True
+        return self.verdict in ("aborted", "gone") and self.cause not in (None, *REASONS_WITHOUT_RUN)
+
 
 class HostedViewing:
     """One viewing: its request and state, its tune-ins numbered from 0, and the budgets that they charge."""
--- a/herongap/rules/admission.py
+++ b/herongap/rules/admission.py
@@ -9,6 +9,8 @@
 
 # A member floods when it requests so many times its usual rate, and so many viewings a second on top.
 FLOOD_FACTOR, FLOOD_MARGIN = 4.0, 5.0
+RUNS_REMEMBERED_SECONDS = 60.0
+MAX_REMEMBERED_RUNS = 10_000
 
 
 class Admission:
@@ -22,6 +24,8 @@
             config.extra_window,
         )
         self.requests, self.retries = deque(), deque()
+        # Zone, cell and time of the tune-ins of viewings that are over, with the expiry, by viewing.
+        self.runs: dict[int, tuple[float, list[tuple]]] = {}
         self.started_at, self.controls_floods, self.rates = now, config.over_share < 0.5, {}
         # What may still be begun here of each fleet budget: nothing before the first report.
         self.budgets, self.remaining = config.wholes, dict.fromkeys((b.name for b in config.wholes), 0)
@@ -55,6 +59,20 @@
                 times.popleft()
         return len(self.retries) + 1 <= free + share * len(self.requests)
 
+    def remember_runs(self, now: float, viewing: Viewing) -> None:
+        """Remembers where a viewing that is over may have run, if its package may not simply repeat it."""
+        if not viewing.may_have_run or viewing.package.repeat is RepeatSafety.HARMLESS:
+            return
+        self.runs.pop(viewing.id, None)
+        self.runs[viewing.id] = now + RUNS_REMEMBERED_SECONDS, viewing.may_have_run
+        while len(self.runs) > MAX_REMEMBERED_RUNS or next(iter(self.runs.values()))[0] <= now:
+            del self.runs[next(iter(self.runs))]
+
+    def earlier_runs(self, now: float, viewing: Viewing) -> list[tuple]:
+        """Where a viewing may have run that was requested before by the same id."""
+        expires_at, runs = self.runs.get(viewing.id, (now, []))
+        return runs if expires_at > now else []
+
     def may_repeat_at(self, now: float, viewing: Viewing, streamer: Streamer) -> bool:
         """Whether the package's terms allow this viewing at this streamer, given where it may have run."""
         package = viewing.package
--- a/herongap/rules/controller.py
+++ b/herongap/rules/controller.py
@@ -56,6 +56,9 @@
     def asked(self, now: float, request: ViewingRequest) -> None:
         """A viewer requests a viewing."""
         viewing = self.viewings[request.viewing] = Viewing(request, self.state.packages[request.package], now)
+        if earlier := self.admission.earlier_runs(now, viewing):
+            # Its viewer left and came again: a tune-in now is a further one of the same viewing.
+            viewing.may_have_run, viewing.tries = list(earlier), len(earlier)
         self.state.recent_requests += 1
         self.state.named_holders.update((None, *request.holders))
         viewing.is_flood = self.admission.asked(now, request.member)
@@ -124,12 +127,13 @@
             viewing.playing or reason in (EndReason.CALLED_OFF, EndReason.NOT_SENT)
         ):
             self.quality_table.failed(now, viewing, streamer, reason)
+        if reason not in (EndReason.FULL, EndReason.UNREACHED, EndReason.NOT_SENT):
+            viewing.may_have_run.append((streamer.entry.zone, streamer.entry.cell, viewing.sent_at))
         if closed or viewing.ending:
+            self.admission.remember_runs(now, viewing)
             del self.viewings[viewing_id]
         else:
             viewing.tried.add(streamer_id)
-            if reason not in (EndReason.FULL, EndReason.UNREACHED, EndReason.NOT_SENT):
-                viewing.may_have_run.append((streamer.entry.zone, streamer.entry.cell, viewing.sent_at))
             viewing.tries = state.tune_ins if reason is EndReason.NOT_SENT else viewing.tries
             self.wait(viewing, max(now + 0.05, viewing.join_deadline))
         state.recheck = True
@@ -193,7 +197,7 @@
                 and not place(now, viewing)
                 and now >= max(viewing.hold_until, viewing.slot_due_at)
             ):
-                self.placement.give_up(viewing)
+                self.placement.give_up(now, viewing)
         if now >= self.next_tick_at:
             # The only periodic job: capacities, scores and ranks, the price of a step.
             self.next_tick_at, state.recheck = now + TICK_SECONDS, True
--- a/herongap/rules/placement.py
+++ b/herongap/rules/placement.py
@@ -152,7 +152,7 @@
         ]
         spent = viewing.tries >= state.tune_ins or (viewing.tries and not holders)
         if spent or viewing.top < package.floor or viewing.deadline - now < MIN_TIME_LEFT_SECONDS:
-            return self.give_up(viewing)  # waiting would not help: the viewer had better retry
+            return self.give_up(now, viewing)  # waiting would not help: the viewer had better retry
         seats_taken = package.seats and package.seats <= state.seated[package.name, viewing.request.title]
         if (
             seats_taken
@@ -251,9 +251,10 @@
         )
         return True
 
-    def give_up(self, viewing: Viewing) -> bool:
+    def give_up(self, now: float, viewing: Viewing) -> bool:
         """Decides on the final answer: blocked if a retry does no harm, aborted if it might."""
         state, package = self.state, viewing.package
+        self.admission.remember_runs(now, viewing)
         del state.waiting[viewing.id], state.viewings[viewing.id]
         safe = package.repeat is RepeatSafety.HARMLESS or (package.repeat, package.group) == (
             RepeatSafety.IN_GROUP,
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -226,8 +226,49 @@
 }
 
 
+def come_again(address: Address, seconds: float) -> dict[str, int]:
+    """Request viewings and leave; come again with the same ids, at once and seconds later; wait at last."""
+    refs, counts = [f"{0x4400_0000 + number:016x}" for number in range(20)], {"sent": 0, "up": 0, "down": 0}
+    for pause, stays in ((0.1, 0.05), (seconds / 2, 0.05), (0.0, seconds / 2)):
+        for position, ref in enumerate(refs):
+            with socket.create_connection(address, timeout=2.0) as sock:
+                sock.sendall(set_up(int(ref, 16)))
+                counts["sent"] += 1
+                time.sleep(stays / len(refs))
+                if stays > 1:
+                    answer = sock.recv(RECEIVE_BYTES)
+                    counts["up" if b'"up"' in answer else "down"] += 1
+                if position % 2:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        time.sleep(pause)
+    return counts
+
+
+def close_unread(address: Address, seconds: float) -> dict[str, int]:
+    """Send many usable set-ups at once and close the connection before most of them can have been read."""
+    numbers, counts, until = count(0x3300_0000), {"sent": 0, "connections": 0}, end_after(seconds)
+    while time.monotonic() < until:
+        with socket.create_connection(address, timeout=2.0) as sock:
+            sock.sendall(b"".join(set_up(next(numbers)) for _ in range(300)))
+            counts["sent"] += 300
+            counts["connections"] += 1
+            if counts["connections"] % 2:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        time.sleep(0.3)
+    return counts
+
+
+RESET_AT_CLOSE = b"\1\0\0\0\0\0\0\0"
+OTHERS: dict[str, Callable[[Address, float], dict[str, int]]] = {
+    "come_again": come_again,
+    "close_unread": close_unread,
+}
+
+
 def run(client: str, address: Address, seconds: float) -> dict[str, int]:
     """Run one kind of client; return what it counted."""
+    if client in OTHERS:
+        return OTHERS[client](address, seconds)
     if client in MESSAGES:
         return flood(address, seconds, MESSAGES[client])
     if client in CROWDS:
