--- a/herongap/node/run.py
+++ b/herongap/node/run.py
@@ -157,6 +157,9 @@
         if lost:
             log.warning("streamer lost", streamer=name, viewings=len(lost), cause="restarted")
             self.host.all_ended(self.clock(), lost, EndReason.BROKEN)
+        for viewing, number in lost:
+            # The list's time may be later than the moment from which the new process took set-ups.
+            self.port.tear_down(viewing, number, name, False)
 
     def _measure_lag(self) -> None:
         """Measure how late this process runs its timers."""
--- a/herongap/node/streamers.py
+++ b/herongap/node/streamers.py
@@ -85,11 +85,15 @@
 
         To be called once the host has the new list too, as the host may place these viewings anew at once.
         """
-        taken = {upstream.address for upstream in self.upstreams.values() if not upstream.delisted}
+        listed = {upstream.address: upstream for upstream in self.upstreams.values() if not upstream.delisted}
         for upstream in list(self.upstreams.values()):
-            if upstream.delisted and upstream.address in taken:
-                # Whatever answers there is not the streamer that played these viewings.
+            if upstream.delisted and (successor := listed.get(upstream.address)):
+                # Whatever answers there is not the streamer that played these viewings. Those that were set
+                # up since it came up play there, and are held by the name of the old one.
+                lost = self.host.playing_at(upstream.name)
                 self._streamer_lost(upstream, "replaced")
+                for viewing, _ in lost:
+                    self._release(successor, viewing)
 
     # The host's port.
 
@@ -243,7 +247,7 @@
             now + messages.RELEASE_RETENTION_SECONDS,
             release,
         )
-        if upstream.pending:
+        if upstream.pending and not upstream.delisted:
             self._ensure_connection(upstream)
 
     def _release(
--- a/tests/test_node_streamers.py
+++ b/tests/test_node_streamers.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 from helpers import closing
-from node_world import SETTINGS, World
+from node_world import SETTINGS, FakeStreamer, World
 
 
 @pytest.fixture
@@ -86,6 +86,56 @@
     assert w.node.host.viewings[again].streamer != old
 
 
+# Guards against: a viewing that was set up at a new process, by the name of the old one, plays on for nobody.
+def test_viewings_at_a_new_streamer_that_was_taken_for_the_old_one_are_stopped_there(world):
+    w = world(streamers=1)
+    ((name, old),) = w.streamers.items()
+    w.until(lambda: w.node.resolver.serial)
+    old.kill()
+    new = FakeStreamer(old.address)  # the list does not tell yet
+    viewer = w.viewer()
+    ref = w.request_viewing(viewer)
+    w.until(lambda: viewer.received("up", ref))
+    w.streamers = {"s-00000009": new}
+    w.resolver.serial += 1
+    w.until(lambda: viewer.received("down", ref))
+    w.until(lambda: new.received_count("down", ref) == 1)
+    old.close()
+
+
+def test_viewings_that_a_restarted_streamer_may_play_are_stopped_there(world):
+    w = world(streamers=1)
+    ((name, streamer),) = w.streamers.items()
+    viewer = w.viewer()
+    ref = w.request_viewing(viewer)
+    w.until(lambda: viewer.received("up", ref))
+    w.started[name] = int((time.time() + 1) * 1000)  # by the list it started after the set-up
+    w.resolver.serial += 1
+    w.until(lambda: viewer.received("down", ref))
+    w.until(lambda: streamer.received_count("down", ref) == 1)
+
+
+# Guards against: a connection that is opened for one that left the list carries what the new one there sends.
+def test_a_streamer_that_left_the_list_is_not_dialled_for_pending_messages(world):
+    w = world(streamers=2)
+    viewer = w.viewer()
+    ref = w.request_viewing(viewer)
+    w.until(lambda: viewer.received("up", ref))
+    name = w.node.host.viewings[ref].streamer
+    old = w.streamers.pop(name)
+    w.resolver.serial += 1
+    w.until(lambda: w.node.port.upstreams[name].delisted)
+    for peer in old.peers:
+        peer.close()
+    upstream = w.node.port.upstreams[name]
+    w.until(lambda: not upstream.connections)
+    opened = len(old.peers)
+    w.node.port.set_rung(ref, 0, name, 1)
+    gevent.sleep(0.1)
+    assert len(old.peers) == opened
+    old.close()
+
+
 def test_a_starting_streamer_gets_no_more_set_ups_than_slow_start_allows(world):
     places = dict(SETTINGS["FamilyInfo"], KindSlots=[20])
     w = world(streamers=1, FamilyInfo=places)
