--- a/herongap/daemon/streamer_events.py
+++ b/herongap/daemon/streamer_events.py
@@ -26,7 +26,8 @@
 
     A share is the part of its load that a streamer delivers, 0 to 1; a load is the ratio of demand to
     capacity of its link or of its rack's uplink. A session that ended is named by its resource at the
-    streamer, a streamer that was lost with the target of its event stream.
+    streamer, a streamer that was lost with the target of its event stream. A stream is restored when it can
+    be read again after a break.
     """
 
     def on_share_reported(self, streamer: Id, share: float) -> None: ...
@@ -35,6 +36,8 @@
 
     def on_session_ended(self, streamer: Id, resource: str, reason: EndReason) -> None: ...
 
+    def on_stream_restored(self, streamer: Id, target: str) -> None: ...
+
     def on_streamer_lost(self, streamer: Id, target: str, cause: str) -> None: ...
 
 
@@ -50,7 +53,7 @@
         self.streamer, self.address, self.target = streamer, address, target
         self.liveness = StreamerLiveness(clock())
         self.connection: ClientConnection | None = None
-        self.silent = False
+        self.silent = self._was_read = False
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -96,6 +99,9 @@
         head = self.connection.head(time.monotonic() + 2.0)
         if head.status != 200:
             return head.status in (404, 410)
+        if self._was_read:
+            self.listener.on_stream_restored(self.streamer, self.target)
+        self._was_read = True
         reader, chunks = EventReader(), self.connection.chunks(1.0)
         while True:
             try:
--- a/herongap/daemon/streamers.py
+++ b/herongap/daemon/streamers.py
@@ -376,11 +376,26 @@
 
     def on_session_ended(self, streamer: Id, resource: str, reason: EndReason) -> None:
         """Handle a streamer's report that one of its sessions ended."""
-        for (viewing, number), remote in list(self.remote_sessions.items()):
+        for tune_in, remote in list(self.remote_sessions.items()):
             if remote.streamer == streamer and remote.path == resource:
-                del self.remote_sessions[viewing, number]
-                self._release_budgets((viewing, number))
-                self.host.ended(self.clock(), viewing, number, reason)
+                self._session_ended(tune_in, reason)
+
+    def _session_ended(self, tune_in: tuple[Id, int], reason: EndReason) -> None:
+        if self.remote_sessions.pop(tune_in, None):
+            self._release_budgets(tune_in)
+            self.host.ended(self.clock(), *tune_in, reason)
+
+    def on_stream_restored(self, streamer: Id, target: str) -> None:
+        """Check the sessions of a streamer whose event stream broke: another process may answer there now."""
+        gevent.spawn(self._check_sessions, streamer, target)
+
+    def _check_sessions(self, streamer: Id, target: str) -> None:
+        for tune_in, remote in list(self.remote_sessions.items()):
+            if (remote.streamer, remote.events) == (streamer, target) and (
+                self.session_exists(remote) is False
+            ):
+                log.info("session not found after a break", viewing=tune_in[0], streamer=streamer)
+                self._session_ended(tune_in, EndReason.BROKEN)
 
     def on_streamer_lost(self, streamer: Id, target: str, cause: str) -> None:
         """End all viewings of a streamer whose process is gone; `target` was its event stream."""
