--- a/herongap/daemon/http_connection.py
+++ b/herongap/daemon/http_connection.py
@@ -85,7 +85,7 @@
             conn.start_next_cycle()
             if reader.has_input():
                 now = pacer.clock()
-                gevent.sleep(pacer.next_turn_after(reader.busy_seconds) - now)
+                gevent.sleep(pacer.next_turn_after(reader.turn_seconds(now)) - now)
             reader.busy_seconds = 0.0
     except (PeerDisconnectedError, OSError, h11.LocalProtocolError):
         pass
--- a/herongap/daemon/request_reader.py
+++ b/herongap/daemon/request_reader.py
@@ -12,6 +12,8 @@
 
 # Read at once; what follows a request in it waits in h11's buffer until that request has been answered.
 READ_SIZE_BYTES = 16384
+# The most that handling a request counts for in a turn: a longer one has waited, and others were served.
+MAX_HANDLING_SECONDS = 0.005
 
 
 class RequestReader:
@@ -22,7 +24,7 @@
 
     def __init__(self, sock, conn: h11.Connection, peer: str, limits: ProcessLimits, memory: RequestMemory):
         self.sock, self.conn, self.peer, self.limits, self.memory = sock, conn, peer, limits, memory
-        self.busy_seconds = 0.0
+        self.busy_seconds, self._read_at = 0.0, 0.0
         self._size = 0  # bytes received of the present request
         self._deadline = 0.0
         self._head: h11.Request | None = None
@@ -71,10 +73,15 @@
                     return self._too_large()
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
+                self._read_at = time.monotonic()
                 return self._request(b"".join(body))
             else:  # ConnectionClosed or PAUSED
                 return None
 
+    def turn_seconds(self, now: float) -> float:
+        """Return for how long the present request has kept the process busy, now that it is answered."""
+        return self.busy_seconds + min(now - self._read_at, MAX_HANDLING_SECONDS)
+
     def finish(self) -> None:
         """Give back the memory of the present request, which has been answered or given up."""
         self.memory.release(self._size)
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -216,6 +216,10 @@
     "half_bodies": lambda n: iter([(3600.0, LARGE_BODY[:-20])]),
     "slow_bodies": lambda n: in_pieces(LARGE_BODY, 1000, 0.06),
     "crowd_of_pages": lambda n: ((0.0, 20 * MESSAGES["get"](n)) for _ in count()),
+    "crowd_of_players": lambda n: (
+        (0.0, b"".join(MESSAGES["dash_new_players"](1000 * (1000 * n + i) + j) for j in range(20)))
+        for i in count()
+    ),
     "crowd_of_heads": lambda n: ((0.0, LARGE_HEAD[:15000] + b"\r\n") for _ in count()),
 }
 # The same for connections that never read what they are sent.
