--- a/herongap/fleet/bound.py
+++ b/herongap/fleet/bound.py
@@ -56,7 +56,9 @@
         program.window(parts, {key: seconds[w] for key, seconds in demand.items() if seconds[w] > 0})
     value, prices = program.solve(totals)
     total = sum(prices.values()) or 1.0
-    return Bound(value / max(offered, 1e-9), {kind: price / total for kind, price in sorted(prices.items())})
+    # Both values are sums of the same terms in another order: their quotient may lie a bit above 1.
+    service = min(1.0, value / max(offered, 1e-9))
+    return Bound(service, {kind: price / total for kind, price in sorted(prices.items())})
 
 
 def _demand(day: Day, script: Script, edges: np.ndarray) -> tuple[dict, dict, float]:
@@ -180,5 +182,5 @@
             raise BoundUnavailableError(f"the linear program failed: {solved.message}")
         prices: dict[str, float] = defaultdict(float)
         for price, size, kind in zip(-solved.ineqlin.marginals, self.sizes, self.kinds, strict=True):
-            prices[kind] += price * size
+            prices[kind] += max(0.0, price) * size  # the solver's rounding may leave a price just below 0
         return -solved.fun, prices
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,14 @@
 """The simulation model: formulas, reproducibility, the rules, and the statistics of experiments."""
 
 import json
+import math
 import os
 import signal
 import threading
 import time
 from pathlib import Path
+from types import SimpleNamespace
+from typing import NamedTuple
 
 import numpy as np
 import pytest
@@ -16,6 +19,7 @@
 from test_rehearsal import DAY, TROUBLES
 
 from herongap.cli import main
+from herongap.fleet import bound as bounds
 from herongap.fleet import compare, runner
 from herongap.fleet.bound import bound
 from herongap.fleet.checker import check
@@ -365,6 +369,31 @@
     assert result.exit_code == 0 and (tmp_path / "out2" / "report.html").exists()
 
 
+# Guards against: a bound of all that is requested is a last bit above 1, by the order of sums or the machine.
+@pytest.mark.parametrize("above", [math.nextafter(1.0, 2.0), 1.0 + 1e-12])
+def test_bound_is_1_at_most_whatever_the_solver_rounds(bad_day, monkeypatch, above):
+    day_script = script(bad_day, 0)
+    edges = np.arange(0.0, bad_day.settings.seconds + 60.0, bounds.WINDOW_SECONDS)
+    offered = bounds._demand(bad_day, day_script, edges)[2]
+
+    class Solved(NamedTuple):
+        """A solution as scipy returns it, with a value just above the offered one."""
+
+        success: bool
+        fun: float
+        ineqlin: SimpleNamespace
+
+    def solve(gains, A_ub, b_ub, **more):  # noqa: N803
+        prices = np.full(len(b_ub), -1.0)
+        prices[::2] = 1e-18  # as a price just below 0
+        return Solved(True, -offered * above, SimpleNamespace(marginals=prices))
+
+    monkeypatch.setattr(bounds, "linprog", solve)
+    found = bound(bad_day, day_script)
+    assert found.service == 1.0
+    assert all(0.0 <= share <= 1.0 for share in found.binds.values())
+
+
 def test_bound_is_above_the_service_of_a_controller_and_names_the_limiting_constraint(bad_day):
     day = bad_day._replace(troubles={})
     roomy = day._replace(
