Waiting viewings do not keep others from being handed over; heads with bare line feeds are counted right

Found by reading the change. Set-ups that wait counted towards what may be held when a viewing is handed over, so that a client that requests many kept others' from being adopted; only placed ones count now. The end of a head whose lines end without a carriage return was not seen, so that its body counted as header fields and was refused with 431.

--- a/herongap/daemon/request_reader.py
+++ b/herongap/daemon/request_reader.py
@@ -1,5 +1,6 @@
 """Reads the requests of one connection with h11, within the limits of the process."""
 
+import re
 import socket as plain
 import time
 from contextlib import suppress
@@ -10,6 +11,7 @@
 from herongap.http import Reply, Request, problem
 from herongap.overload import ProcessLimits, RequestMemory
 
+HEAD_END = re.compile(rb"\n\r?\n")  # h11 takes lines that end without a carriage return too
 # Read at once; what follows a request in it waits in h11's buffer until that request has been answered.
 READ_SIZE_BYTES = 16384
 # The most that handling a request counts for in a turn: a longer one has waited, and others were served.
@@ -95,8 +97,8 @@
     def _field_count(self) -> int:
         """Count the header fields that have arrived, of a head that h11 has not parsed yet."""
         received = self.conn.trailing_data[0]
-        end = received.find(b"\r\n\r\n")
-        return received.count(b"\n", 0, end if end >= 0 else len(received))
+        end = HEAD_END.search(received)
+        return received.count(b"\n", 0, end.start() if end else len(received))
 
     def _receive(self) -> Reply | bool | None:
         """Pass what arrives next to h11; True unless the request ends here, with a reply or without."""
--- a/herongap/host/host.py
+++ b/herongap/host/host.py
@@ -237,6 +237,10 @@
         valid = hosted is not None and self.statuses.get(hosted.streamer) is StreamerStatus.ACTIVE
         return valid and self.module.may_still_send(now, viewing, ranked)
 
+    def placed_count(self) -> int:
+        """The number of viewings that play, or for which a tune-in is in flight."""
+        return len(self.viewings) - len(self.module.waiting)
+
     def may_adopt(self, streamer: Id) -> bool:
         """Whether one more viewing may be adopted that is said to play at a streamer."""
         return self.module.may_adopt(streamer)
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -13,7 +13,7 @@
 from herongap.node.connection import Connection
 from herongap.platform import messages
 from herongap.platform.config import NodeConfig
-from herongap.platform.handovers import MAX_REJECTED_RELEASES, max_held_viewings
+from herongap.platform.handovers import MAX_REJECTED_RELEASES, max_placed_viewings
 from herongap.platform.messages import InvalidFieldError, MalformedMessageError, Message
 from herongap.platform.turns import TURN_ACCEPTS, TurnPacer
 
@@ -47,7 +47,7 @@
     ):
         self.config, self.host, self.limiter, self.clock = config, host, limiter, clock
         self.sessions: dict[str, Session] = {}
-        self.max_held = max_held_viewings(config.memory_mb)
+        self.max_placed = max_placed_viewings(config.memory_mb)
         # Releases that no open connection could carry, with their expiry, by viewing.
         self.pending_releases: dict[str, tuple[bytes, float]] = {}
         # Viewings that were released but are not held, with the expiry: a set-up with `at` may come later.
@@ -277,7 +277,7 @@
         # would be reported.
         return (
             streamer in self.host.port.upstreams
-            and len(self.host.viewings) < self.max_held
+            and self.host.placed_count() < self.max_placed
             and self.host.may_adopt(streamer)
         )
 
--- a/herongap/platform/handovers.py
+++ b/herongap/platform/handovers.py
@@ -13,6 +13,9 @@
 MAX_REJECTED_RELEASES_PER_STREAMER = 1000
 
 
-def max_held_viewings(memory_mb: int) -> int:
-    """Return how many viewings a process with that much memory may hold and still adopt another one."""
+def max_placed_viewings(memory_mb: int) -> int:
+    """Return how many viewings of a process with that much memory may be placed when it adopts another one.
+
+    Those that wait do not count: a client that requests many must not keep others from being adopted.
+    """
     return int(memory_mb * MEGABYTE * HELD_MEMORY_SHARE / HELD_VIEWING_BYTES)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -15,7 +15,7 @@
 from helpers import closing
 from loopback import LoopbackFleet
 from node_world import SETTINGS, ProcessWorld, World
-from plain_peers import PlainPeer, hand_over
+from plain_peers import LONG_DEADLINES, PlainPeer, hand_over
 
 from herongap.limiter import MAX_LAG_SECONDS
 from herongap.platform.handovers import MAX_REJECTED_RELEASES, MAX_REJECTED_RELEASES_PER_STREAMER
@@ -99,6 +99,22 @@
     client.close()
 
 
+# Guards against: a client that requests many viewings keeps those that play from being handed over.
+def test_viewings_that_wait_do_not_count_towards_what_may_be_adopted(world):
+    w = world(**LONG_DEADLINES)
+    w.node.viewers.max_placed = 2
+    w.node.host.module.placement.place = lambda now, viewing: False  # all wait
+    client = PlainPeer(w.address)
+    for _ in range(5):
+        w.request_viewing(client, left="30000")
+    w.until(lambda: len(w.node.host.module.waiting) == 5)
+    for ref in ("0123456789abcde0", "0123456789abcde1", "0123456789abcde2"):
+        hand_over(w, client, "s-00000000", ref)
+    w.until(lambda: client.received("down"))
+    assert [message["ref"] for message in client.received("down")] == ["0123456789abcde2"]
+    client.close()
+
+
 # Guards against: releases of viewings that were not adopted are kept without a bound for a silent client.
 def test_releases_of_viewings_that_were_not_adopted_are_kept_up_to_a_limit(world):
     w = world(FamilyInfo=SETTINGS["FamilyInfo"] | {"KindSlots": [1]})
