Beyond the hard limit a connection whose input never ends is closed, not the newest one

Cause: only idle connections are closed for newer ones, and one whose input never ends is never idle. A trial that closed connections of which nothing could be written for a second changed nothing (24 and 27): that guess was wrong.

Change: the oldest connection whose input waits for its turn, without an unanswered set-up, is closed rather than the new.

--- a/herongap/limiter.py
+++ b/herongap/limiter.py
@@ -71,12 +71,19 @@
         """Whether the process is so late that new set-ups would only delay those that it has accepted."""
         return self.lag > MAX_LAG_SECONDS
 
-    def add(self, now: float, client: Hashable, is_quiet: Callable[[Hashable], bool]) -> list:
+    def add(
+        self,
+        now: float,
+        client: Hashable,
+        is_quiet: Callable[[Hashable], bool],
+        is_flooding: Callable[[Hashable], bool] = lambda client: False,
+    ) -> list:
         """Add a connection; return those to close for it: silent ones first, then the least recently used.
 
         `is_quiet` tells whether a connection has nothing unread and nothing unsent: neither a request nor an
         answer on its way is cut off. Up to `hard_limit` the new connection is kept too, as it may have sent
-        its request already.
+        its request already; beyond it the oldest one that `is_flooding`, which is never quiet, is closed
+        rather than the new one.
         """
         self.clients[client] = ClientRecord(now, None, 0)
         excess = len(self.clients) - self.max_connections
@@ -92,7 +99,9 @@
             if is_quiet(victim):
                 victims.append(victim)
         if len(self.clients) - len(victims) > self.hard_limit:
-            victims.append(client)
+            others = [other for *_, other in sorted(idle, key=lambda entry: entry[2])]
+            floods = (other for other in others if other not in victims and is_flooding(other))
+            victims.append(next(floods, client))
         for victim in victims:
             self.remove(victim)
         return victims
--- a/herongap/node/connection.py
+++ b/herongap/node/connection.py
@@ -151,6 +151,10 @@
         """Whether no input is unread and no output unsent."""
         return self.closed or not (self._unsent or self.has_unread_input())
 
+    def is_flooding(self) -> bool:
+        """Whether the peer sends faster than it is served, so that its input has to wait."""
+        return not self.closed and self._turns.pause() > 0
+
     def has_unread_input(self) -> bool:
         """Whether input that is not discarded has arrived and is unread."""
         return not (self.closed or self.discarding) and bool(self._peek())
--- a/herongap/node/viewers.py
+++ b/herongap/node/viewers.py
@@ -104,7 +104,8 @@
             sock, peer[0], self._on_line, self._on_closed, self._stop_reading, pacer=self.input_pacer
         )
         self.connections.add(connection)
-        if victims := self.limiter.add(self.clock(), connection, Connection.is_quiet):
+        victims = self.limiter.add(self.clock(), connection, Connection.is_quiet, Connection.is_flooding)
+        if victims:
             for victim in victims:
                 victim.close("shed")
             # Their descriptors are free only once they have ended: many new connections must not outrun that.
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -211,6 +211,7 @@
         [(0.1, encode(t="hb", ref=f"{n:016x}", c=0)), (3600.0, set_up(n, description="x" * 15800)[:-20])]
     ),
     "crowd_of_many_fields": lambda n: ((0.0, with_many_fields(n)) for _ in count()),
+    "crowd_of_heartbeats": lambda n: ((0.0, 100 * encode(t="hb", ref=f"{n:016x}", c=0)) for _ in count()),
     "slow_heads": lambda n: in_pieces(LARGE_HEAD, 100, 0.03),
     "half_heads": lambda n: iter([(3600.0, LARGE_HEAD[:16000])]),
     "half_bodies": lambda n: iter([(3600.0, LARGE_BODY[:-20])]),
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -7,7 +7,7 @@
 import pytest
 from floods import limit_mb, peak_mb, slowest_answer
 from helpers import closing, until
-from hostile_clients import CROWDS, HostileClient
+from hostile_clients import HostileClient
 from loopback import FRONT_PATIENCE_SECONDS, ProcessFleet
 from node_world import SETTINGS, ProcessWorld, World
 from plain_peers import PlainPeer
@@ -21,7 +21,7 @@
 DEADLINE_SECONDS = SETTINGS["Grades"][0]["Deadline"] / 1000
 MOST_DESCRIPTORS = 1024
 SECONDS = 6.0
-LINE_CROWDS = [name for name in CROWDS if "line" in name or "fields" in name]
+LINE_CROWDS = ["slow_lines", "half_lines", "half_lines_after_message", "crowd_of_many_fields"]
 FLOODS = {
     "not answered": [
         "unknown_releases",
@@ -65,8 +65,8 @@
 def start_clients():
     clients = []
 
-    def start(names, address):
-        clients.extend(HostileClient(name, address, SECONDS) for name in names)
+    def start(names, address, seconds=SECONDS):
+        clients.extend(HostileClient(name, address, seconds) for name in names)
         return clients
 
     yield start
@@ -97,6 +97,32 @@
     check_harm(w, start_clients(names, w.address))
 
 
+def answered_and_closed(w, seconds: float) -> tuple[list[float], int]:
+    """Request viewings one after the other, on a new connection where the last one was closed; return the
+    waits for answers, and how many requests had their connection closed instead."""
+    waits, closed, viewer, until = [], 0, w.viewer(), time.monotonic() + seconds
+    while time.monotonic() < until:
+        viewer = w.viewer() if viewer.ended else viewer
+        began, ref = time.monotonic(), w.request_viewing(viewer)
+        w.until(lambda: viewer.ended or viewer.received("up", ref) or viewer.received("down", ref))  # noqa: B023
+        if viewer.received("up", ref) or viewer.received("down", ref):
+            waits.append(time.monotonic() - began)
+        else:
+            closed += 1
+    return waits, closed
+
+
+# Guards against: connections whose input never ends take all descriptors, and usual ones are closed for them.
+@pytest.mark.parametrize("crowd", ["crowd_of_heartbeats", "unread_refusals"])
+def test_usual_connections_are_not_closed_for_hundreds_at_full_speed(start_process, start_clients, crowd):
+    w = start_process(sockets=MOST_DESCRIPTORS)
+    # It takes some seconds until the crowd has all descriptors.
+    (client,) = start_clients([crowd], w.address, 2 * SECONDS)
+    waits, closed = answered_and_closed(w, 2 * SECONDS)
+    assert max(waits) < DEADLINE_SECONDS and closed <= (len(waits) + closed) / 4
+    assert client.finish()["most"] > 400
+
+
 # Guards against: a connection that has ended keeps what it had read until the garbage collector runs.
 def test_a_connection_that_was_closed_here_is_freed_at_once(world):
     w = world()
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -46,6 +46,18 @@
     assert limiter.add(1.0, "d", lambda client: client != "b") == ["a"]
 
 
+def test_the_oldest_connection_that_floods_is_closed_beyond_the_hard_limit_and_not_the_new_one():
+    limiter = ConnectionLimiter(3, 4)
+    for client in "abcd":
+        limiter.add(0.0, client, never)
+    limiter.set_up_accepted("a")
+    floods = {"a", "c", "d"}.__contains__
+    assert limiter.add(1.0, "e", never, floods) == ["c"], "the first one without an unanswered set-up"
+    assert limiter.add(1.0, "f", never, floods) == ["d"]
+    assert limiter.add(1.0, "g", never, floods) == ["g"]
+    assert limiter.add(1.0, "h", lambda client: client in "be", floods) == ["b", "e"], "quiet ones come first"
+
+
 def test_a_new_connection_is_kept_up_to_the_hard_limit_if_no_other_may_be_closed():
     limiter = ConnectionLimiter(2, 3)
     for client in "ab":
